--- /dev/null
+++ b/src/back/siblings.cc
@@ -0,0 +1,183 @@
+#include "back/siblings.h"
+
+#include <unistd.h>
+
+#include <cstring>
+
+#include "base/constants.h"
+#include "base/log.h"
+
+namespace hareshore {
+
+struct Siblings::Link {
+    Link(Loop& loop, std::unique_ptr<Stream> s) : stream(std::move(s)), more(loop) {}
+    std::unique_ptr<Stream> stream;
+    std::string outbox;
+    Signal more;
+    bool open = true;
+    void close() {
+        open = false;
+        more.notify();
+    }
+};
+
+struct Siblings::Call {
+    explicit Call(Loop& loop) : done(loop) {}
+    Signal done;
+    std::optional<Response> answer;
+};
+
+Siblings::Siblings(Loop& loop, const Config& config, BeatSource beat, RelayHandler relay)
+    : loop_(loop),
+      beat_(std::move(beat)),
+      relay_(std::move(relay)),
+      links_(config.siblings.size()),
+      news_(loop),
+      listener_(loop, listen_on(config.back)),
+      scope_(loop) {
+    for (const auto& s : config.siblings) peers_.push_back(Peer{s, -1e9, -1e9, -1e9, {}});
+    scope_.spawn(accept_all(), "back accept");
+    for (size_t i = 0; i < peers_.size(); ++i) scope_.spawn(dial(i), "back link");
+}
+
+void Siblings::send(Link& link, std::string frame) {
+    // A link that does not drain is cut off; nothing on it is worth keeping for later.
+    if (!link.open || link.outbox.size() + frame.size() > 2 * constants::kFrameLimit) return link.close();
+    link.outbox += frame;
+    link.more.notify();
+}
+
+void Siblings::heard(const back::Beat& beat, bool answer) {
+    for (auto& p : peers_) {
+        if (p.who.label != back::label_of(beat)) continue;
+        p.heard = loop_.now();
+        p.beat = beat;
+        if (answer) {
+            p.answered = static_cast<double>(beat.asked_us) / 1e6;
+            p.answer_at = loop_.now();
+        }
+    }
+    news_.notify();
+}
+
+Task<void> Siblings::dial(size_t i) {
+    while (true) {
+        auto stream = co_await connect_to(loop_, peers_[i].who.addr, loop_.now() + constants::kConnect_s);
+        if (stream) {
+            auto link = std::make_shared<Link>(loop_, std::move(stream));
+            links_[i] = link;
+            scope_.spawn(write_all(link), "back writer");
+            scope_.spawn(read_all(link, i), "back reader");
+            while (link->open) {
+                back::Beat b = beat_();
+                b.asked_us = static_cast<uint64_t>(loop_.now() * 1e6);
+                send(*link, back::pack(back::Kind::kBeat, b));
+                co_await loop_.sleep(constants::kBeat_s);
+            }
+            links_[i] = nullptr;
+        }
+        co_await loop_.sleep(constants::kBeat_s);
+    }
+}
+
+Task<void> Siblings::accept_all() {
+    while (true) {
+        int fd = accept_from(listener_.fd());
+        if (fd == -1) {
+            co_await loop_.readable(listener_, -1);
+        } else if (fd == -2) {
+            co_await loop_.sleep(constants::kAcceptPause_s);
+        } else if (scope_.size() > constants::kBackRoutines) {
+            close(fd);
+        } else {
+            scope_.spawn(serve(fd), "back connection");
+        }
+    }
+}
+
+Task<void> Siblings::serve(int fd) {
+    auto link = std::make_shared<Link>(loop_, std::make_unique<Stream>(loop_, fd));
+    scope_.spawn(write_all(link), "back writer");
+    co_await read_all(link, peers_.size());
+}
+
+Task<void> Siblings::write_all(std::shared_ptr<Link> link) {
+    while (link->open) {
+        if (link->outbox.empty()) {
+            co_await loop_.wait(link->more, -1);
+            continue;
+        }
+        std::string out = std::exchange(link->outbox, {});
+        if (!co_await link->stream->write(out, loop_.now() + constants::kBeatFresh_s)) link->close();
+    }
+}
+
+Task<void> Siblings::read_all(std::shared_ptr<Link> link, size_t) {
+    back::Reader reader;
+    char chunk[constants::kReadChunk];
+    while (link->open) {
+        ssize_t n = co_await link->stream->read(chunk, sizeof chunk, loop_.now() + constants::kBeatFresh_s);
+        if (n <= 0) break;
+        reader.feed({chunk, static_cast<size_t>(n)});
+        while (auto f = reader.next()) {
+            if (f->kind == back::Kind::kBeat || f->kind == back::Kind::kBeatAnswer) {
+                auto beat = back::unpack_beat(f->payload);
+                if (!beat) {
+                    link->close();
+                    break;
+                }
+                heard(*beat, f->kind == back::Kind::kBeatAnswer);
+                if (f->kind == back::Kind::kBeat) {
+                    back::Beat mine = beat_();
+                    mine.asked_us = beat->asked_us;
+                    send(*link, back::pack(back::Kind::kBeatAnswer, mine));
+                }
+            } else if (f->kind == back::Kind::kRelay) {
+                if (scope_.size() <= constants::kBackRoutines)
+                    scope_.spawn(answer_relay(link, f->id, std::move(f->payload)), "relayed report");
+            } else if (f->payload.size() >= sizeof(back::RelayAnswerHead)) {
+                auto it = calls_.find(f->id);
+                if (it == calls_.end()) continue;  // too late
+                back::RelayAnswerHead h;
+                std::memcpy(&h, f->payload.data(), sizeof h);
+                it->second->answer = Response{h.status, f->payload.substr(sizeof h), 0, "application/msgpack"};
+                it->second->done.notify();
+            }
+        }
+        if (reader.bad()) {
+            log::info("back: a connection that does not speak our frames was closed");
+            break;
+        }
+    }
+    link->close();
+}
+
+Task<void> Siblings::answer_relay(std::shared_ptr<Link> link, uint32_t id, std::string body) {
+    Response r = co_await relay_(std::move(body));
+    back::RelayAnswerHead h{static_cast<uint16_t>(r.status)};
+    std::string payload(reinterpret_cast<const char*>(&h), sizeof h);
+    payload += r.body;
+    send(*link, back::pack(back::Kind::kRelayAnswer, id, payload));
+}
+
+Task<std::optional<Response>> Siblings::relay(std::string label, std::string body) {
+    for (size_t i = 0; i < peers_.size(); ++i) {
+        if (peers_[i].who.label != label || !links_[i] || !links_[i]->open) continue;
+        uint32_t id = next_call_++;
+        auto call = std::make_shared<Call>(loop_);
+        calls_[id] = call;
+        struct Forget {
+            std::unordered_map<uint32_t, std::shared_ptr<Call>>& calls;
+            uint32_t id;
+            ~Forget() { calls.erase(id); }
+        } forget{calls_, id};
+        send(*links_[i], back::pack(back::Kind::kRelay, id, body));
+        Seconds until = loop_.now() + constants::kRelay_s;
+        while (!call->answer)
+            if (co_await loop_.wait(call->done, until) == Wake::kTimeout) break;
+        co_return call->answer;
+    }
+    co_return std::nullopt;
+}
+
+}  // namespace hareshore
--- /dev/null
+++ b/src/base/ranges.h
@@ -0,0 +1,32 @@
+// Sets of task numbers as sorted, disjoint ranges: a job of 100,000 tasks costs a few bytes.
+#pragma once
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace hareshore {
+
+class Ranges {
+  public:
+    static Ranges whole(uint32_t count);
+    // Reads what text() wrote; nothing if the text is not in that form or exceeds `limit` numbers.
+    static std::optional<Ranges> parse(std::string_view text, uint32_t limit);
+
+    bool add(uint32_t n);     // true if n was not in the set
+    bool remove(uint32_t n);  // true if n was in the set
+    bool has(uint32_t n) const;
+    std::optional<uint32_t> first() const;
+    uint32_t size() const { return size_; }
+    bool empty() const { return size_ == 0; }
+    size_t pieces() const { return map_.size(); }  // number of ranges
+    std::string text() const;                      // "0-3,7"
+    bool operator==(const Ranges&) const = default;
+
+  private:
+    std::map<uint32_t, uint32_t> map_;  // first -> last
+    uint32_t size_ = 0;
+};
+
+}  // namespace hareshore
--- /dev/null
+++ b/src/cloud/cloud.cc
@@ -0,0 +1,124 @@
+#include "cloud/cloud.h"
+
+#include "base/constants.h"
+
+namespace hareshore {
+
+// The limit is shared by all controllers, and the leader makes most of the calls.
+Cloud::Cloud(Loop& loop, Address at, double rps, size_t nodes)
+    : loop_(loop),
+      http_(loop, at, 4),
+      bucket_(rps * constants::kCloudShare, std::max(1.0, 2 * rps / static_cast<double>(nodes))) {}
+
+Task<Answer> Cloud::call(std::string method, std::string path, std::string body) {
+    while (!bucket_.take(1, loop_.now())) co_await loop_.sleep(bucket_.until(1, loop_.now()) + 0.001);
+    Answer a = co_await http_.call(std::move(method), std::move(path), std::move(body), constants::kCloudCall_s);
+    if (a.status == 429) bucket_.drain(loop_.now());
+    co_return a;
+}
+
+std::string Cloud::pack_flavors(const std::vector<Flavor>& flavors) {
+    Packer p;
+    p.map(1).key("flavors").list(flavors.size());
+    for (const auto& f : flavors) {
+        p.map(10).key("name").text(f.name).key("vcpus").number(f.cpus).key("cards").number(f.gpus);
+        p.key("memory_gb").number(f.memory_gb).key("cache_gb").number(f.cache_gb);
+        p.key("fetch_gb_per_s").number(f.fetch_gb_per_s).key("price").number(f.price);
+        p.key("low_price").number(f.spot_price).key("boot_s").number(f.boot_s).key("coves").list(f.zones.size());
+        for (const auto& z : f.zones) p.text(z);
+    }
+    return p.take();
+}
+
+std::optional<std::vector<Flavor>> Cloud::unpack_flavors(const std::string& packed) {
+    auto m = Message::parse(packed);
+    if (!m || !m->root()["flavors"].is_list()) return std::nullopt;
+    Node list = m->root()["flavors"];
+    std::vector<Flavor> flavors;
+    for (size_t i = 0; i < list.size(); ++i) {
+        Node n = list.at(i);
+        Flavor f;
+        f.name = n["name"].text_or("");
+        f.cpus = n["vcpus"].number_or(0);
+        f.gpus = n["cards"].number_or(0);
+        f.memory_gb = n["memory_gb"].number_or(0);
+        f.cache_gb = n["cache_gb"].number_or(0);
+        f.fetch_gb_per_s = n["fetch_gb_per_s"].number_or(0);
+        f.price = n["price"].number_or(0);
+        f.spot_price = n["low_price"].number_or(f.price);
+        f.boot_s = n["boot_s"].number_or(60);
+        for (size_t z = 0; z < n["coves"].size(); ++z) f.zones.push_back(n["coves"].at(z).text_or(""));
+        if (f.name.empty()) return std::nullopt;
+        flavors.push_back(std::move(f));
+    }
+    if (flavors.empty()) return std::nullopt;
+    return flavors;
+}
+
+Task<std::optional<std::vector<Flavor>>> Cloud::flavors() {
+    Answer a = co_await call("GET", "/flavors", "");
+    if (!a.ok()) co_return std::nullopt;
+    co_return unpack_flavors(a.body);
+}
+
+Task<std::optional<std::vector<Machine>>> Cloud::list() {
+    std::vector<Machine> machines;
+    std::string from;
+    while (true) {
+        std::string path = "/hosts?page=" + std::to_string(constants::kListPage);
+        if (!from.empty()) path += "&from=" + from;
+        Answer a = co_await call("GET", std::move(path), "");
+        if (!a.ok()) co_return std::nullopt;
+        auto m = Message::parse(a.body);
+        if (!m || !m->root()["hosts"].is_list()) co_return std::nullopt;
+        Node rows = m->root()["hosts"];
+        for (size_t i = 0; i < rows.size(); ++i) {
+            Node n = rows.at(i);
+            Machine x;
+            x.name = n["ref"].text_or("");
+            x.addr = n["addr"].text_or("");
+            x.flavor = n["flavor"].text_or("");
+            x.zone = n["cove"].text_or("");
+            x.spot = n["driftwood"].flag_or(false);
+            std::string phase = n["phase"].text_or("");
+            x.phase = phase == "running"  ? MachinePhase::kRunning
+                      : phase == "failed" ? MachinePhase::kFailed
+                                          : MachinePhase::kBooting;
+            x.age_s = n["age_s"].number_or(0);
+            if (x.name.empty()) co_return std::nullopt;
+            from = x.name;
+            machines.push_back(std::move(x));
+        }
+        if (!m->root()["has_next"].flag_or(false) || rows.size() == 0) break;
+    }
+    co_return machines;
+}
+
+Task<RentResult> Cloud::rent(std::string claim, std::string flavor, std::string zone, bool spot, int number) {
+    Packer p;
+    p.map(5).key("claim").text(claim).key("flavor").text(flavor).key("cove").text(zone);
+    p.key("driftwood").flag(spot).key("number").count(static_cast<uint64_t>(number));
+    Answer a = co_await call("POST", "/hosts", p.take());
+    RentResult r;
+    auto m = Message::parse(a.body);
+    if (a.ok() && m && m->root()["hosts"].is_list()) {
+        r.result = Rent::kRented;
+        Node hosts = m->root()["hosts"];
+        for (size_t i = 0; i < hosts.size(); ++i) r.machines.push_back(hosts.at(i).text_or(""));
+    } else if (a.status == 503 && m && m->root()["error"].text_or("") == "no capacity") {
+        r.result = Rent::kNoCapacity;
+    } else if (a.status == 0 && a.sent) {
+        r.result = Rent::kUnknown;
+    }
+    co_return r;
+}
+
+Task<bool> Cloud::remove(std::vector<std::string> names) {
+    Packer p;
+    p.map(1).key("hosts").list(names.size());
+    for (const auto& n : names) p.text(n);
+    Answer a = co_await call("POST", "/hosts/delete", p.take());
+    co_return a.ok();
+}
+
+}  // namespace hareshore
--- /dev/null
+++ b/src/cloud/cloud.h
@@ -0,0 +1,54 @@
+// The cloud's protocol.
+#pragma once
+#include <vector>
+
+#include "base/bucket.h"
+#include "http/client.h"
+
+namespace hareshore {
+
+struct Flavor {
+    std::string name;
+    double cpus = 0, gpus = 0, memory_gb = 0, cache_gb = 0, fetch_gb_per_s = 0;
+    double price = 0, spot_price = 0;  // an hour
+    Seconds boot_s = 0;
+    std::vector<std::string> zones;
+
+    bool fits(double c, double g, double m) const { return c <= cpus && g <= gpus && m <= memory_gb; }
+};
+
+enum class MachinePhase { kBooting, kRunning, kFailed };
+
+struct Machine {
+    std::string name, addr, flavor, zone;
+    bool spot = false;
+    MachinePhase phase = MachinePhase::kBooting;
+    Seconds age_s = 0;
+};
+
+enum class Rent { kRented, kNoCapacity, kFailed, kUnknown };
+
+struct RentResult {
+    Rent result = Rent::kFailed;
+    std::vector<std::string> machines;
+};
+
+class Cloud {
+  public:
+    Cloud(Loop& loop, Address at, double rps, size_t nodes);
+    Task<std::optional<std::vector<Flavor>>> flavors();
+    Task<std::optional<std::vector<Machine>>> list();  // all pages
+    Task<RentResult> rent(std::string claim, std::string flavor, std::string zone, bool spot, int number);
+    Task<bool> remove(std::vector<std::string> names);  // true: they are gone
+
+    static std::string pack_flavors(const std::vector<Flavor>& flavors);
+    static std::optional<std::vector<Flavor>> unpack_flavors(const std::string& packed);
+
+  private:
+    Task<Answer> call(std::string method, std::string path, std::string body);
+    Loop& loop_;
+    HttpClient http_;
+    Bucket bucket_;
+};
+
+}  // namespace hareshore
--- /dev/null
+++ b/src/config/config.cc
@@ -0,0 +1,113 @@
+#include "config/config.h"
+
+#include <cmath>
+#include <functional>
+#include <toml++/toml.h>
+
+namespace hareshore {
+
+const Team* Config::team(const std::string& name) const {
+    for (const auto& t : teams)
+        if (t.name == name) return &t;
+    return nullptr;
+}
+
+namespace {
+
+using View = toml::node_view<const toml::node>;
+
+[[noreturn]] void fail(const std::string& field, const std::string& what) {
+    throw ConfigError("settings: " + field + ": " + what);
+}
+
+std::string need_text(View v, const std::string& field) {
+    auto s = v.value_exact<std::string>();
+    if (!s || s->empty()) fail(field, "a non-empty text is needed");
+    return *s;
+}
+
+double number(View v, const std::string& field, double low, double high) {
+    auto d = v.value<double>();
+    if (!d || !v.is_number()) fail(field, "a number is needed");
+    if (!std::isfinite(*d) || *d < low || *d > high) fail(field, "out of range");
+    return *d;
+}
+
+double positive(View v, const std::string& field) {
+    double d = number(v, field, 0, 1e9);
+    if (d <= 0) fail(field, "must be above 0");
+    return d;
+}
+
+Address address(View v, const std::string& field) {
+    Address a;
+    if (!Address::parse(need_text(v, field), a)) fail(field, "an address like 10.0.0.1:8080 is needed");
+    return a;
+}
+
+Config from_table(const toml::table& root) {
+    Config c;
+    auto at = [&](const char* path) { return root.at_path(path); };
+    auto pos = [&](const char* path) { return positive(at(path), path); };
+    c.label = need_text(at("label"), "label");
+    c.zone = need_text(at("site"), "site");
+    c.listen = address(at("client_listen"), "client_listen");
+    c.back = address(at("back"), "back");
+    c.cloud = address(at("endpoints.cloud"), "endpoints.cloud");
+    c.state = address(at("endpoints.state"), "endpoints.state");
+    if (auto* list = at("siblings").as_array()) {
+        for (size_t i = 0; i < list->size(); ++i) {
+            View s(list->get(i));
+            std::string f = "siblings[" + std::to_string(i) + "].";
+            c.siblings.push_back(
+                {need_text(s["label"], f + "label"), need_text(s["site"], f + "site"), address(s["addr"], f + "addr")});
+        }
+    }
+    auto* zones = at("facts.zones").as_array();
+    if (!zones || zones->empty()) fail("facts.zones", "a list of zones is needed");
+    for (const auto& z : *zones) c.zones.push_back(need_text(View(&z), "facts.zones"));
+    c.skew_s = number(at("facts.skew_ms"), "facts.skew_ms", 0, 1e7) / 1000.0;
+    auto* teams = at("facts.teams").as_array();
+    if (!teams) fail("facts.teams", "a list of teams is needed");
+    for (size_t i = 0; i < teams->size(); ++i) {
+        View t(teams->get(i));
+        std::string f = "facts.teams[" + std::to_string(i) + "].";
+        Team team;
+        team.name = need_text(t["name"], f + "name");
+        auto amount = [&](const char* n) { return t[n] ? number(t[n], f + n, 0, 1e9) : 0.0; };
+        team.cpus = amount("cpus");
+        team.cpus_max = amount("cpus_max");
+        team.gpus = amount("gpus");
+        team.gpus_max = amount("gpus_max");
+        c.teams.push_back(team);
+    }
+    c.report_s = pos("facts.workers.report_s");
+    c.lease_s = pos("facts.workers.lease_s");
+    c.gang_wait_s = pos("facts.workers.gang_wait_s");
+    c.gang_peer_s = pos("facts.workers.gang_peer_s");
+    c.cancel_s = pos("facts.workers.cancel_s");
+    if (c.cancel_s <= c.lease_s) fail("facts.workers.cancel_s", "must be above lease_s");
+    c.state_rps = pos("facts.state.rps");
+    c.write_rps = pos("facts.state.write_rps");
+    c.value_bytes = static_cast<size_t>(pos("facts.state.value_kb") * 1024);
+    c.txn_ops = static_cast<size_t>(number(at("facts.state.txn_ops"), "facts.state.txn_ops", 2, 1e6));
+    c.cloud_rps = pos("facts.cloud.rps");
+    c.list_lag_s = number(at("facts.cloud.list_lag_s"), "facts.cloud.list_lag_s", 0, 1e6);
+    c.sockets = at("facts.machine_limits.sockets")
+                    ? static_cast<size_t>(number(at("facts.machine_limits.sockets"), "facts.machine_limits.sockets", 16, 1e7))
+                    : 512;
+    return c;
+}
+
+}  // namespace
+
+Config Config::parse(const std::string& text) {
+    try {
+        return from_table(toml::parse(text));
+    } catch (const toml::parse_error& e) {
+        throw ConfigError("settings: line " + std::to_string(e.source().begin.line) + ": " +
+                          std::string(e.description()));
+    }
+}
+
+}  // namespace hareshore
--- /dev/null
+++ b/src/config/config.h
@@ -0,0 +1,62 @@
+// The platform's settings file (TOML) and the operators' own settings (S-expressions), both checked.
+#pragma once
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+#include "base/clock.h"
+#include "http/message.h"
+
+namespace hareshore {
+
+struct ConfigError : std::runtime_error {
+    using std::runtime_error::runtime_error;
+};
+
+struct Sibling {
+    std::string label, zone;
+    Address addr;
+};
+
+struct Team {
+    std::string name;
+    double cpus = 0, cpus_max = 0, gpus = 0, gpus_max = 0;  // 0: no guarantee, no limit
+};
+
+struct Config {
+    std::string label, zone;
+    Address listen, back, cloud, state;
+    std::vector<Sibling> siblings;
+    std::vector<std::string> zones;
+    std::vector<Team> teams;
+    Seconds skew_s = 0;
+    Seconds report_s = 0, lease_s = 0, gang_wait_s = 0, gang_peer_s = 0, cancel_s = 0;
+    double state_rps = 0, write_rps = 0;
+    size_t value_bytes = 0, txn_ops = 0;
+    double cloud_rps = 0;
+    Seconds list_lag_s = 0;
+    size_t sockets = 0;
+
+    const Team* team(const std::string& name) const;
+    // Throws ConfigError with one line that names the field.
+    static Config load(const std::string& path);
+    static Config parse(const std::string& text);
+};
+
+// Operators' settings with their defaults; every name here is a name in the file.
+struct Settings {
+    Seconds hold_s = 10;           // a task is held this long for an idle holder of its image
+    Seconds similar_age_s = 15;    // tasks whose ages differ by less may overtake for the cache's sake
+    Seconds age_bound_s = 60;      // a task that waited longer goes first
+    int min_machines = 0;          // per zone: rented even without work
+    int max_machines = 200;        // per zone
+    int min_idle_machines = 1;     // per zone: kept ready for the next job
+    Seconds idle_return_s = 50;    // a machine idle this long is returned
+    Seconds preempt_after_s = 8;   // work waits this long before it preempts
+
+    static Settings load(const std::string& path);
+    // Throws ConfigError "line 3: ..."; an unknown name or a value out of range is an error.
+    static Settings parse(const std::string& text);
+};
+
+}  // namespace hareshore
--- /dev/null
+++ b/src/fleet/cluster.cc
@@ -0,0 +1,132 @@
+#include "fleet/cluster.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "jobs/table.h"
+
+namespace hareshore {
+
+namespace {
+constexpr double kEps = 1e-9;  // sums of decimals such as 0.1 are not exact
+}
+
+void ImageCache::use(const std::string& image, double gb) {
+    images_.remove_if([&](const Image& i) { return i.name == image; });
+    images_.push_front({image, gb});
+    double sum = 0;
+    for (auto it = images_.begin(); it != images_.end();) {
+        sum += it->gb;
+        it = sum > capacity_ && it != images_.begin() ? images_.erase(it) : std::next(it);
+    }
+}
+
+bool ImageCache::has(const std::string& image) const {
+    return std::any_of(images_.begin(), images_.end(), [&](const Image& i) { return i.name == image; });
+}
+
+Amount& Amount::operator+=(const Amount& o) {
+    cpus += o.cpus;
+    gpus += o.gpus;
+    memory_gb += o.memory_gb;
+    return *this;
+}
+
+Amount& Amount::operator-=(const Amount& o) {
+    cpus -= o.cpus;
+    gpus -= o.gpus;
+    memory_gb -= o.memory_gb;
+    return *this;
+}
+
+uint32_t Amount::fits(const JobSpec& s, uint32_t most) const {
+    double n = most;
+    if (s.cpus > 0) n = std::min(n, std::floor((cpus + kEps) / s.cpus));
+    if (s.gpus > 0) n = std::min(n, std::floor((gpus + kEps) / s.gpus));
+    if (s.memory_gb > 0) n = std::min(n, std::floor((memory_gb + kEps) / s.memory_gb));
+    return n <= 0 ? 0 : static_cast<uint32_t>(n);
+}
+
+const Flavor* Cluster::flavor(const std::string& name) const {
+    for (const auto& f : flavors)
+        if (f.name == name) return &f;
+    return nullptr;
+}
+
+Host* Cluster::host(const std::string& name) {
+    auto it = hosts.find(name);
+    return it == hosts.end() ? nullptr : it->second.get();
+}
+
+Host& Cluster::ensure(const std::string& name, Seconds now) {
+    auto& h = hosts[name];
+    if (!h) {
+        h = std::make_unique<Host>();
+        h->name = name;
+        h->last_report = now;
+        h->born = now;
+    }
+    return *h;
+}
+
+void Cluster::recount(JobTable& jobs, Seconds now, Seconds silent_after) {
+    teams.clear();
+    for (auto& [name, h] : hosts) {
+        const Flavor* f = flavor(h->flavor);
+        h->free = f ? Amount{f->cpus, f->gpus, f->memory_gb} : Amount{};
+        if (f) h->cache.set_capacity(f->cache_gb);
+        h->placed = 0;
+        h->usable = f && h->current && !h->condemned && !h->deleting && h->leaves_at < 0 &&
+                    (h->holding || now - h->last_report <= silent_after);
+    }
+    auto count = [&](Host* h, const std::string& team, const Amount& a) {
+        if (h) {
+            h->free -= a;
+            ++h->placed;
+        }
+        teams[team].cpus += a.cpus;
+        teams[team].gpus += a.gpus;
+    };
+    for (const auto& [id, job] : jobs.all()) {
+        job->stray = false;
+        for (const auto& [task, p] : job->live) count(host(p.host), job->spec.team, Amount::of(job->spec));
+    }
+    for (auto& [name, h] : hosts) {
+        for (const auto& t : h->tasks) {
+            if (t.phase == TaskPhase::kExited) continue;
+            Job* job = jobs.find(t.name.job);
+            if (job) {
+                auto it = job->live.find(t.name.task);
+                if (it != job->live.end() && it->second.host == name) continue;  // counted above
+                job->stray = true;
+            }
+            count(h.get(), t.team, t.amount);
+            if (!t.sized) h->usable = false;  // what it takes is not known
+        }
+        if (h->placed > 0) {
+            h->idle_since = -1;
+        } else if (h->idle_since < 0) {
+            h->idle_since = now;
+        }
+    }
+}
+
+bool Cluster::within_limit(const Config& config, const JobSpec& s, uint32_t n) const {
+    const Team* t = config.team(s.team);
+    if (!t) return false;
+    auto it = teams.find(s.team);
+    TeamUse use = it == teams.end() ? TeamUse{} : it->second;
+    if (t->cpus_max > 0 && use.cpus + n * s.cpus > t->cpus_max + kEps) return false;
+    return !(t->gpus_max > 0 && use.gpus + n * s.gpus > t->gpus_max + kEps);
+}
+
+bool Cluster::within_guarantee(const Config& config, const JobSpec& s, uint32_t n) const {
+    const Team* t = config.team(s.team);
+    if (!t || (t->cpus <= 0 && t->gpus <= 0)) return false;
+    auto it = teams.find(s.team);
+    TeamUse use = it == teams.end() ? TeamUse{} : it->second;
+    if (t->cpus > 0 && use.cpus + n * s.cpus > t->cpus + kEps) return false;
+    return !(t->gpus > 0 && use.gpus + n * s.gpus > t->gpus + kEps);
+}
+
+}  // namespace hareshore
--- /dev/null
+++ b/src/fleet/cluster.h
@@ -0,0 +1,110 @@
+// The leader's view of the machines: who is there, what runs on them, what room and images they have.
+#pragma once
+#include <list>
+#include <map>
+#include <memory>
+#include <set>
+#include <unordered_map>
+
+#include "cloud/cloud.h"
+#include "config/config.h"
+#include "jobs/spec.h"
+#include "workers/workers.h"
+
+namespace hareshore {
+
+// Which images a machine has. Reports do not say, so it is followed from what ran there: the least
+// recently used go first, as the protocol promises.
+class ImageCache {
+  public:
+    explicit ImageCache(double capacity_gb = 0) : capacity_(capacity_gb) {}
+    void set_capacity(double gb) { capacity_ = gb; }
+    void use(const std::string& image, double gb);
+    bool has(const std::string& image) const;
+    void clear() { images_.clear(); }
+
+  private:
+    struct Image {
+        std::string name;
+        double gb;
+    };
+    double capacity_;
+    std::list<Image> images_;  // most recently used first
+};
+
+struct Amount {
+    double cpus = 0, gpus = 0, memory_gb = 0;
+    Amount& operator+=(const Amount& o);
+    Amount& operator-=(const Amount& o);
+    // How many tasks of this size fit, at most `most`.
+    uint32_t fits(const JobSpec& s, uint32_t most) const;
+    static Amount of(const JobSpec& s) { return {s.cpus, s.gpus, s.memory_gb}; }
+};
+
+// A task as the machine last reported it.
+struct HostTask {
+    TaskName name;
+    uint64_t attempt = 0;
+    TaskPhase phase = TaskPhase::kFetching;
+    ExitCause cause = ExitCause::kNone;
+    uint64_t exit_version = 0;  // the job's version that accounts for the exit; it may be forgotten once committed
+    bool sized = false;         // amount and team are known
+    Amount amount;
+    std::string team;
+};
+
+struct Host {
+    std::string name, addr, flavor, zone;
+    bool spot = false;
+
+    // From its reports.
+    uint64_t session = 0, seq = 0;
+    bool reported = false;       // to this leader
+    bool current = false;        // it has seen this leader's epoch: older launches can no longer arrive
+    Seconds last_report = 0;     // when it last reported, or when this leader first knew of it
+    Seconds leaves_at = -1;      // spot notice
+    std::vector<HostTask> tasks;
+    ImageCache cache;
+
+    // From the cloud.
+    MachinePhase phase = MachinePhase::kBooting;
+    Seconds born = 0;
+    bool listed = false;
+
+    // Judgement.
+    std::set<std::string> failed_jobs;  // jobs with a failed task since the last success
+    bool condemned = false;             // to be drained and returned
+    bool deleting = false;              // a deletion is on its way: nothing may be bound
+    bool holding = false;               // a report of it is being held: an answer can go out at once
+    std::string why_condemned;
+    Seconds idle_since = -1;
+
+    // Recounted from placements and reports.
+    Amount free;
+    uint32_t placed = 0;  // live placements and reported tasks
+    bool usable = false;
+
+    bool idle() const { return placed == 0; }
+};
+
+class JobTable;
+
+struct TeamUse {
+    double cpus = 0, gpus = 0;
+};
+
+struct Cluster {
+    std::map<std::string, std::unique_ptr<Host>> hosts;
+    std::vector<Flavor> flavors;
+    std::unordered_map<std::string, TeamUse> teams;
+
+    const Flavor* flavor(const std::string& name) const;
+    Host* host(const std::string& name);
+    Host& ensure(const std::string& name, Seconds now);
+    // Computes room and team use anew: placements and reported tasks both count, each task once.
+    void recount(JobTable& jobs, Seconds now, Seconds silent_after);
+    bool within_limit(const Config& config, const JobSpec& spec, uint32_t tasks) const;
+    bool within_guarantee(const Config& config, const JobSpec& spec, uint32_t tasks) const;
+};
+
+}  // namespace hareshore
--- /dev/null
+++ b/src/fleet/plan.cc
@@ -0,0 +1,253 @@
+#include "fleet/plan.h"
+
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+
+#include "base/constants.h"
+
+namespace hareshore {
+
+namespace {
+
+// A machine as the plan sees it: there, on its way, or to be rented.
+struct Slot {
+    const Host* host = nullptr;  // null: not rented yet, or only ordered
+    Kind kind;
+    Amount free;
+    Amount whole;
+    bool fresh = false;  // to be rented by this plan
+    bool used = false;   // waiting work was put on it
+};
+
+class Planner {
+  public:
+    Planner(const Cluster& c, const JobTable& j, const FleetInput& in) : cluster_(c), jobs_(j), in_(in) {}
+
+    FleetPlan run() {
+        judge();
+        collect();
+        MatchInput m{in_.config, in_.settings, in_.now, {}};
+        for (const auto& q : queue_order(cluster_, jobs_, m)) cover(*q.job);
+        reserve();
+        give_back_idle();
+        std::map<Kind, int> wanted;
+        for (const auto& s : slots_)
+            if (s.fresh) ++wanted[s.kind];
+        for (const auto& [kind, n] : wanted) plan_.rent.push_back({kind, n});
+        return std::move(plan_);
+    }
+
+  private:
+    void give_back(const Host& h, std::string why) {
+        plan_.give_back.push_back(h.name);
+        plan_.reasons[h.name] = std::move(why);
+    }
+
+    // Machines that are of no use. A machine is returned with tasks on it only when nothing can be saved
+    // there any more: the deletion is also what proves that its tasks are gone.
+    void judge() {
+        size_t known = 0, silent = 0;
+        for (const auto& [name, h] : cluster_.hosts) {
+            if (!h->reported) continue;
+            ++known;
+            if (in_.now - h->last_report > constants::kSilent_s && !h->holding) ++silent;
+        }
+        // When many fall silent at once, the trouble is likely on this side: they are given longer.
+        bool ours = silent >= 3 && silent * 2 > known;
+        for (const auto& [name, h] : cluster_.hosts) {
+            if (h->deleting) continue;
+            const Flavor* f = cluster_.flavor(h->flavor);
+            Seconds quiet = in_.now - std::max(h->last_report, in_.leading_since);
+            Seconds patience = ours ? 2 * in_.config.lease_s : constants::kSilent_s;
+            if (h->phase == MachinePhase::kFailed) {
+                give_back(*h, "it failed");
+            } else if (h->phase == MachinePhase::kRunning && h->reported && !h->holding && quiet > patience) {
+                give_back(*h, "it is unreachable");
+            } else if (h->phase == MachinePhase::kRunning && !h->reported && quiet > patience + in_.config.lease_s) {
+                give_back(*h, "it never reported");
+            } else if (h->phase == MachinePhase::kBooting && f &&
+                       in_.now - h->born > constants::kBootPatience * f->boot_s + constants::kBootExtra_s &&
+                       quiet > constants::kSilent_s) {
+                give_back(*h, "it does not come up");
+            } else if (h->phase == MachinePhase::kBooting && !f && quiet > patience + in_.config.lease_s) {
+                give_back(*h, "nothing is known of it");  // a record names it, the cloud does not list it
+            } else if (h->condemned && h->idle()) {
+                give_back(*h, h->why_condemned);
+            }
+        }
+    }
+
+    bool leaving(const Host& h) const {
+        return h.deleting || h.condemned || h.leaves_at >= 0 || plan_.reasons.count(h.name) > 0;
+    }
+
+    void collect() {
+        for (const auto& [name, h] : cluster_.hosts) {
+            const Flavor* f = cluster_.flavor(h->flavor);
+            if (!f || leaving(*h) || h->phase == MachinePhase::kFailed) continue;
+            Slot s;
+            s.host = h.get();
+            s.kind = {h->flavor, h->zone, h->spot};
+            s.whole = {f->cpus, f->gpus, f->memory_gb};
+            s.free = h->free;
+            slots_.push_back(s);
+            ++in_zone_[h->zone];
+        }
+        for (const auto& r : in_.on_order)
+            for (int i = 0; i < r.number; ++i) add(r.kind, false);
+    }
+
+    bool add(const Kind& kind, bool fresh) {
+        const Flavor* f = cluster_.flavor(kind.flavor);
+        if (!f) return false;
+        if (fresh && in_zone_[kind.zone] >= in_.settings.max_machines) return false;
+        Slot s;
+        s.kind = kind;
+        s.whole = s.free = {f->cpus, f->gpus, f->memory_gb};
+        s.fresh = fresh;
+        slots_.push_back(s);
+        ++in_zone_[kind.zone];
+        return true;
+    }
+
+    bool refused(const Kind& k) const {
+        auto it = in_.refused_until.find(k);
+        return it != in_.refused_until.end() && in_.now < it->second;
+    }
+
+    // Kinds that the job may run on, cheapest for its tasks first.
+    std::vector<Kind> kinds(const JobSpec& s) const {
+        std::vector<std::tuple<double, int, Kind>> out;
+        for (const auto& f : cluster_.flavors) {
+            Amount whole{f.cpus, f.gpus, f.memory_gb};
+            uint32_t k = whole.fits(s, constants::kMaxTasks);
+            if (k == 0) continue;
+            for (const auto& z : f.zones)
+                for (bool spot : {true, false}) {
+                    Kind kind{f.name, z, spot};
+                    if (!s.allows(f.name, z, spot) || refused(kind)) continue;
+                    auto n = in_zone_.find(z);
+                    out.emplace_back((spot ? f.spot_price : f.price) / k, n == in_zone_.end() ? 0 : n->second, kind);
+                }
+        }
+        std::sort(out.begin(), out.end());
+        std::vector<Kind> list;
+        for (auto& [price, n, kind] : out) list.push_back(kind);
+        return list;
+    }
+
+    static uint32_t put(Slot& s, const JobSpec& spec, uint32_t n) {
+        uint32_t k = s.free.fits(spec, n);
+        for (uint32_t i = 0; i < k; ++i) s.free -= Amount::of(spec);
+        if (k > 0) s.used = true;
+        return k;
+    }
+
+    // Puts a job's waiting tasks on what is there or coming; what is left asks for machines. Like tasks
+    // are counted as a class: the cost is one step a machine, however many tasks wait.
+    void cover(const Job& job) {
+        if (in_.now < job.not_before) return;
+        const JobSpec& s = job.spec;
+        uint32_t n = job.pending.size();
+        if (!s.gang()) {
+            while (n > 1 && !cluster_.within_limit(in_.config, s, n)) n /= 2;
+        }
+        if (!cluster_.within_limit(in_.config, s, n)) return;
+        if (s.gang() && !job.live.empty()) return;
+        if (!s.one_zone || (s.tasks == 1)) {
+            for (Slot& x : slots_)
+                if (n > 0 && s.allows(x.kind.flavor, x.kind.zone, x.kind.spot)) n -= put(x, s, n);
+            for (const Kind& kind : kinds(s)) {
+                while (n > 0 && add(kind, true)) n -= put(slots_.back(), s, n);
+            }
+            return;
+        }
+        cover_in_zone(job, n);
+    }
+
+    // All tasks in one zone: the zone that lacks the fewest machines.
+    void cover_in_zone(const Job& job, uint32_t n) {
+        const JobSpec& s = job.spec;
+        ZoneRule rule(job);
+        std::string best;
+        uint32_t best_lack = UINT32_MAX;
+        auto options = kinds(s);
+        for (const auto& zone : in_.config.zones) {
+            if (rule.room(zone) == 0) continue;
+            uint32_t have = 0;
+            for (const Slot& x : slots_)
+                if (x.kind.zone == zone && s.allows(x.kind.flavor, zone, x.kind.spot)) have += x.free.fits(s, n);
+            uint32_t lack = have >= n ? 0 : n - have;
+            bool rentable = std::any_of(options.begin(), options.end(), [&](const Kind& k) { return k.zone == zone; });
+            if (lack > 0 && !rentable) continue;
+            if (lack < best_lack) {
+                best = zone;
+                best_lack = lack;
+            }
+        }
+        if (best.empty()) return;
+        for (Slot& x : slots_)
+            if (n > 0 && x.kind.zone == best && s.allows(x.kind.flavor, best, x.kind.spot)) n -= put(x, s, n);
+        for (const Kind& kind : options) {
+            if (kind.zone != best) continue;
+            while (n > 0 && add(kind, true)) n -= put(slots_.back(), s, n);
+        }
+    }
+
+    bool is_idle(const Slot& s) const { return !s.used && (!s.host || s.host->idle()); }
+
+    // The paper's thresholds: at least so many machines, and so many idle ones, in each zone.
+    void reserve() {
+        for (const auto& zone : in_.config.zones) {
+            int idle = 0;
+            for (const Slot& s : slots_)
+                if (s.kind.zone == zone && is_idle(s)) ++idle;
+            int lack = std::max(in_.settings.min_idle_machines - idle, in_.settings.min_machines - in_zone_[zone]);
+            for (const Flavor& f : cluster_.flavors) {
+                if (std::find(f.zones.begin(), f.zones.end(), zone) == f.zones.end()) continue;
+                for (bool spot : {true, false}) {
+                    Kind kind{f.name, zone, spot};
+                    if ((spot && !in_.spot_allowed) || refused(kind)) continue;
+                    while (lack > 0 && add(kind, true)) --lack;
+                }
+            }
+        }
+    }
+
+    void give_back_idle() {
+        for (const auto& zone : in_.config.zones) {
+            std::vector<const Slot*> idle;
+            for (const Slot& s : slots_)
+                if (s.kind.zone == zone && s.host && s.host->reported && is_idle(s)) idle.push_back(&s);
+            // The dearest go first, then those idle longest.
+            std::sort(idle.begin(), idle.end(), [](const Slot* a, const Slot* b) {
+                return std::tuple(a->kind.spot, a->host->idle_since, a->host->name) <
+                       std::tuple(b->kind.spot, b->host->idle_since, b->host->name);
+            });
+            int spare = static_cast<int>(idle.size()) - in_.settings.min_idle_machines;
+            spare = std::min(spare, in_zone_[zone] - in_.settings.min_machines);
+            for (const Slot* s : idle) {
+                if (spare <= 0) break;
+                if (in_.now - std::max(s->host->idle_since, in_.leading_since) < in_.settings.idle_return_s) continue;
+                give_back(*s->host, "it was idle");
+                --spare;
+            }
+        }
+    }
+
+    const Cluster& cluster_;
+    const JobTable& jobs_;
+    const FleetInput& in_;
+    std::vector<Slot> slots_;
+    std::map<std::string, int> in_zone_;
+    FleetPlan plan_;
+};
+
+}  // namespace
+
+FleetPlan plan_fleet(const Cluster& cluster, const JobTable& jobs, const FleetInput& in) {
+    return Planner(cluster, jobs, in).run();
+}
+
+}  // namespace hareshore
--- /dev/null
+++ b/src/fleet/plan.h
@@ -0,0 +1,38 @@
+// Rentals: the paper's PilotMonitor per zone, with min, max and min-idle machines. No I/O.
+#pragma once
+#include "match/match.h"
+
+namespace hareshore {
+
+// A kind of machine that can be rented.
+struct Kind {
+    std::string flavor, zone;
+    bool spot = false;
+    auto operator<=>(const Kind&) const = default;
+};
+
+struct Rental {
+    Kind kind;
+    int number = 0;
+};
+
+struct FleetPlan {
+    std::vector<Rental> rent;
+    std::vector<std::string> give_back;
+    std::map<std::string, std::string> reasons;  // by machine
+};
+
+struct FleetInput {
+    const Config& config;
+    const Settings& settings;
+    Seconds now = 0;
+    Seconds leading_since = 0;
+    std::map<Kind, Seconds> refused_until;  // kinds without capacity
+    std::vector<Rental> on_order;           // asked for, not answered yet
+    bool cloud_up = true;
+    bool spot_allowed = false;  // every job seen lately may use spot machines
+};
+
+FleetPlan plan_fleet(const Cluster& cluster, const JobTable& jobs, const FleetInput& in);
+
+}  // namespace hareshore
--- /dev/null
+++ b/src/http/client.cc
@@ -0,0 +1,106 @@
+#include "http/client.h"
+
+#include "base/constants.h"
+
+namespace hareshore {
+
+namespace {
+
+struct AnswerCollector {
+    http_parser parser;
+    http_parser_settings settings;
+    Answer answer;
+    bool complete = false;
+
+    AnswerCollector() {
+        http_parser_init(&parser, HTTP_RESPONSE);
+        parser.data = this;
+        http_parser_settings_init(&settings);
+        settings.on_body = [](http_parser* p, const char* at, size_t n) {
+            auto& a = self(p).answer;
+            if (a.body.size() + n > constants::kAnswerLimit) return 1;
+            a.body.append(at, n);
+            return 0;
+        };
+        settings.on_message_complete = [](http_parser* p) {
+            self(p).complete = true;
+            http_parser_pause(p, 1);
+            return 0;
+        };
+    }
+    static AnswerCollector& self(http_parser* p) { return *static_cast<AnswerCollector*>(p->data); }
+};
+
+// Counts the open connection, whichever way the call ends.
+struct Slot {
+    size_t& open;
+    Signal& freed;
+    ~Slot() {
+        --open;
+        freed.notify();
+    }
+};
+
+}  // namespace
+
+Task<Answer> HttpClient::exchange(Stream& stream, const std::string& out, Seconds until, bool& keep) {
+    AnswerCollector c;
+    keep = false;
+    bool written = co_await stream.write(out, until);
+    c.answer.sent = true;
+    if (!written) co_return Answer{0, true, ""};
+    char chunk[constants::kReadChunk];
+    while (!c.complete) {
+        ssize_t n = co_await stream.read(chunk, sizeof chunk, until);
+        if (n < 0) co_return Answer{0, true, ""};
+        http_parser_execute(&c.parser, &c.settings, chunk, static_cast<size_t>(n));
+        auto error = HTTP_PARSER_ERRNO(&c.parser);
+        if (error != HPE_OK && error != HPE_PAUSED) co_return Answer{0, true, ""};
+        if (n == 0 && !c.complete) co_return Answer{0, true, ""};
+    }
+    keep = http_should_keep_alive(&c.parser) != 0;
+    c.answer.status = static_cast<int>(c.parser.status_code);
+    co_return std::move(c.answer);
+}
+
+Task<Answer> HttpClient::call(std::string method, std::string path, std::string body, Seconds timeout) {
+    Seconds until = loop_.now() + timeout;
+    if (open_ >= most_ && waiting_ >= constants::kPoolWaiters) co_return Answer{};
+    ++waiting_;
+    struct Leave {
+        size_t& n;
+        bool left = false;
+        void now() {
+            if (!left) --n;
+            left = true;
+        }
+        ~Leave() { now(); }
+    } leave{waiting_};
+    while (open_ >= most_) {
+        if (co_await loop_.wait(freed_, until) == Wake::kTimeout) co_return Answer{};
+    }
+    leave.now();
+    ++open_;
+    Slot slot{open_, freed_};
+    std::unique_ptr<Stream> stream;
+    while (!stream && !idle_.empty()) {
+        stream = std::move(idle_.front());
+        idle_.pop_front();
+        if (stream->stale()) stream.reset();
+    }
+    if (!stream) {
+        Seconds by = std::min(until, loop_.now() + constants::kConnect_s);
+        stream = co_await connect_to(loop_, to_, by);
+        if (!stream) co_return Answer{};
+    }
+    std::string out = method + ' ' + path + " HTTP/1.1\r\nHost: hareshore\r\n";
+    if (!body.empty()) out += "Content-Type: application/msgpack\r\n";
+    if (!body.empty() || method != "GET") out += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+    out += "\r\n" + body;
+    bool keep = false;
+    Answer answer = co_await exchange(*stream, out, until, keep);
+    if (keep && idle_.size() < most_) idle_.push_back(std::move(stream));
+    co_return answer;
+}
+
+}  // namespace hareshore
--- /dev/null
+++ b/src/http/client.h
@@ -0,0 +1,30 @@
+// HTTP/1.1 client: a small pool of kept connections to one peer.
+#pragma once
+#include "http/message.h"
+#include "http/pack.h"
+
+namespace hareshore {
+
+struct Answer {
+    int status = 0;     // 0: none came
+    bool sent = false;  // with status 0: the request may have been carried out
+    std::string body;
+    bool ok() const { return status == 200; }
+};
+
+class HttpClient {
+  public:
+    HttpClient(Loop& loop, Address to, size_t most) : loop_(loop), to_(to), most_(most), freed_(loop) {}
+    Task<Answer> call(std::string method, std::string path, std::string body, Seconds timeout);
+
+  private:
+    Task<Answer> exchange(Stream& stream, const std::string& out, Seconds until, bool& keep);
+
+    Loop& loop_;
+    Address to_;
+    size_t most_, open_ = 0, waiting_ = 0;
+    std::list<std::unique_ptr<Stream>> idle_;
+    Signal freed_;
+};
+
+}  // namespace hareshore
--- /dev/null
+++ b/src/http/message.h
@@ -0,0 +1,53 @@
+// What HTTP server and client share: a connection that reads and writes whole messages.
+#pragma once
+#include <http_parser.h>
+
+#include <string>
+
+#include "loop/loop.h"
+
+namespace hareshore {
+
+struct Request {
+    std::string method, path, query, body;
+    bool oversized = false;  // the body exceeds the limit and was not kept
+    std::string peer;
+};
+
+struct Response {
+    int status = 200;
+    std::string body;
+    int retry_after = 0;  // seconds; 0: no such header
+    std::string type = "application/msgpack";
+};
+
+// An IPv4 address with port, "10.0.0.1:8080".
+struct Address {
+    uint32_t ip = 0;
+    uint16_t port = 0;
+    static bool parse(const std::string& text, Address& out);
+};
+
+// A connected stream socket.
+class Stream {
+  public:
+    Stream(Loop& loop, int fd) : Stream(loop, std::make_unique<File>(loop, fd)) {}
+    Stream(Loop& loop, std::unique_ptr<File> file) : loop_(loop), file_(std::move(file)) {}
+    // Bytes read, 0 at the end of the stream, -1 on error, -2 on timeout.
+    Task<ssize_t> read(char* to, size_t most, Seconds until);
+    Task<bool> write(std::string_view bytes, Seconds until);
+    bool stale();  // the peer has closed or sent something unasked
+
+  private:
+    Loop& loop_;
+    std::unique_ptr<File> file_;
+};
+
+// Null if the connection could not be made in time.
+Task<std::unique_ptr<Stream>> connect_to(Loop& loop, Address to, Seconds until);
+// A listening socket, or throws std::system_error.
+int listen_on(const Address& at);
+// Accepts one connection; -1 if none waits, -2 if the process has no socket left.
+int accept_from(int fd);
+
+}  // namespace hareshore
--- /dev/null
+++ b/src/jobs/record.cc
@@ -0,0 +1,127 @@
+#include "jobs/record.h"
+
+#include <charconv>
+
+#include "base/constants.h"
+
+namespace hareshore {
+
+JobPhase JobRecord::phase() const {
+    if (withdrawn) return JobPhase::kWithdrawn;
+    return live.empty() ? JobPhase::kPending : JobPhase::kRunning;
+}
+
+std::string JobRecord::pack() const {
+    Packer p;
+    p.map(26);
+    p.key("id").text(spec.id).key("class").text(spec.job_class).key("team").text(spec.team);
+    p.key("gang").flag(spec.gang()).key("rank").count(static_cast<uint64_t>(spec.rank));
+    p.key("tasks").count(spec.tasks).key("cpus").number(spec.cpus).key("gpus").number(spec.gpus);
+    p.key("mem").number(spec.memory_gb).key("image").text(spec.image).key("image_gb").number(spec.image_gb);
+    p.key("flavors").list(spec.flavors.size());
+    for (const auto& f : spec.flavors) p.text(f);
+    p.key("zone").text(spec.zone).key("one_zone").flag(spec.one_zone).key("apart").flag(spec.apart);
+    p.key("spot").flag(spec.spot).key("estimate_s").number(spec.estimate_s);
+    p.key("checkpoint_s").number(spec.checkpoint_s).key("save_s").number(spec.save_s);
+    p.key("due_s").number(spec.due_s.value_or(-1)).key("at").number(accepted_wall);
+    p.key("withdrawn").flag(withdrawn).key("done").text(done.text()).key("next").count(next_attempt);
+    // A placement a line, "task attempt zone host"; the host's name comes last.
+    p.key("live").list(live.size());
+    for (const auto& [task, b] : live)
+        p.text(std::to_string(task) + ' ' + std::to_string(b.attempt) + ' ' + b.zone + ' ' + b.host);
+    p.key("v").count(1);
+    return p.take();
+}
+
+namespace {
+
+std::optional<std::pair<uint32_t, Bound>> parse_bound(const std::string& s) {
+    uint32_t task = 0;
+    Bound b;
+    const char* end = s.data() + s.size();
+    auto a = std::from_chars(s.data(), end, task);
+    if (a.ec != std::errc{} || a.ptr == end || *a.ptr != ' ') return std::nullopt;
+    auto c = std::from_chars(a.ptr + 1, end, b.attempt);
+    if (c.ec != std::errc{} || c.ptr == end || *c.ptr != ' ') return std::nullopt;
+    std::string rest(c.ptr + 1, end);
+    auto space = rest.find(' ');
+    if (space == std::string::npos) return std::nullopt;
+    b.zone = rest.substr(0, space);
+    b.host = rest.substr(space + 1);
+    return std::pair{task, b};
+}
+
+}  // namespace
+
+std::optional<JobRecord> JobRecord::unpack(const std::string& packed) {
+    auto m = Message::parse(packed);
+    if (!m || !m->root().is_map()) return std::nullopt;
+    Node n = m->root();
+    JobRecord r;
+    r.spec.id = n["id"].text_or("");
+    r.spec.job_class = n["class"].text_or("");
+    r.spec.team = n["team"].text_or("");
+    r.spec.shape = n["gang"].flag_or(false) ? Shape::kGang : Shape::kArray;
+    r.spec.rank = static_cast<Rank>(std::min<uint64_t>(3, n["rank"].count_or(1)));
+    uint64_t tasks = n["tasks"].count_or(0);
+    if (r.spec.id.empty() || tasks == 0 || tasks > constants::kMaxTasks) return std::nullopt;
+    r.spec.tasks = static_cast<uint32_t>(tasks);
+    r.spec.cpus = n["cpus"].number_or(0);
+    r.spec.gpus = n["gpus"].number_or(0);
+    r.spec.memory_gb = n["mem"].number_or(0);
+    r.spec.image = n["image"].text_or("");
+    r.spec.image_gb = n["image_gb"].number_or(0);
+    for (size_t i = 0; i < n["flavors"].size(); ++i) r.spec.flavors.push_back(n["flavors"].at(i).text_or(""));
+    r.spec.zone = n["zone"].text_or("");
+    r.spec.one_zone = n["one_zone"].flag_or(false);
+    r.spec.apart = n["apart"].flag_or(false);
+    r.spec.spot = n["spot"].flag_or(false);
+    r.spec.estimate_s = n["estimate_s"].number_or(0);
+    r.spec.checkpoint_s = n["checkpoint_s"].number_or(0);
+    r.spec.save_s = n["save_s"].number_or(0);
+    if (double due = n["due_s"].number_or(-1); due >= 0) r.spec.due_s = due;
+    r.accepted_wall = n["at"].number_or(0);
+    r.withdrawn = n["withdrawn"].flag_or(false);
+    auto done = Ranges::parse(n["done"].text_or(""), r.spec.tasks);
+    if (!done) return std::nullopt;
+    r.done = *done;
+    r.next_attempt = std::max<uint64_t>(1, n["next"].count_or(1));
+    for (size_t i = 0; i < n["live"].size(); ++i) {
+        auto b = parse_bound(n["live"].at(i).text_or(""));
+        if (!b || b->first >= r.spec.tasks) return std::nullopt;
+        r.live.insert(*b);
+    }
+    return r;
+}
+
+std::string FinalRecord::pack() const {
+    Packer p;
+    p.map(4).key("id").text(id).key("withdrawn").flag(withdrawn).key("tasks").count(tasks).key("done").count(done);
+    return p.take();
+}
+
+std::optional<FinalRecord> FinalRecord::unpack(const std::string& packed) {
+    auto m = Message::parse(packed);
+    if (!m || !m->root().is_map()) return std::nullopt;
+    FinalRecord r;
+    auto withdrawn = m->root()["withdrawn"].flag();
+    r.id = m->root()["id"].text_or("");
+    if (!withdrawn || r.id.empty()) return std::nullopt;
+    r.withdrawn = *withdrawn;
+    r.tasks = static_cast<uint32_t>(m->root()["tasks"].count_or(0));
+    r.done = static_cast<uint32_t>(m->root()["done"].count_or(0));
+    return r;
+}
+
+std::optional<TaskName> TaskName::parse(const std::string& text) {
+    auto slash = text.rfind('/');
+    if (slash == std::string::npos || slash == 0) return std::nullopt;
+    TaskName t;
+    t.job = text.substr(0, slash);
+    const char* end = text.data() + text.size();
+    auto got = std::from_chars(text.data() + slash + 1, end, t.task);
+    if (got.ec != std::errc{} || got.ptr != end) return std::nullopt;
+    return t;
+}
+
+}  // namespace hareshore
--- /dev/null
+++ b/src/jobs/record.h
@@ -0,0 +1,56 @@
+// A job's record in the state service: all that outlives a controller. One key a job, "j/<id>" while it
+// is unfinished and "f/<id>" for ever after, so that a take-over reads only what is unfinished.
+#pragma once
+#include <map>
+
+#include "base/ranges.h"
+#include "http/pack.h"
+#include "jobs/spec.h"
+
+namespace hareshore {
+
+// A task bound to a machine. It counts as live from its commit until it is disproved.
+struct Bound {
+    uint64_t attempt = 0;
+    std::string host, zone;
+};
+
+struct JobRecord {
+    JobSpec spec;
+    double accepted_wall = 0;
+    bool withdrawn = false;
+    Ranges done;
+    uint64_t next_attempt = 1;
+    std::map<uint32_t, Bound> live;  // by task
+
+    JobPhase phase() const;
+    std::string pack() const;
+    static std::optional<JobRecord> unpack(const std::string& packed);
+};
+
+// What is kept of a finished job.
+struct FinalRecord {
+    std::string id;
+    bool withdrawn = false;  // else done
+    uint32_t tasks = 0;
+    uint32_t done = 0;
+
+    std::string pack() const;
+    static std::optional<FinalRecord> unpack(const std::string& packed);
+};
+
+inline const std::string kLivePrefix = "j/";
+inline const std::string kFinalPrefix = "f/";
+inline std::string live_key(const std::string& id) { return kLivePrefix + id; }
+inline std::string final_key(const std::string& id) { return kFinalPrefix + id; }
+
+// "job-000412/3" to the job's id and the task's number.
+struct TaskName {
+    std::string job;
+    uint32_t task = 0;
+    std::string text() const { return job + '/' + std::to_string(task); }
+    static std::optional<TaskName> parse(const std::string& text);
+    auto operator<=>(const TaskName&) const = default;
+};
+
+}  // namespace hareshore
--- /dev/null
+++ b/src/jobs/spec.h
@@ -0,0 +1,43 @@
+// What a user asked for. Names are the field's usual ones; the wire's are in users/.
+#pragma once
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/clock.h"
+
+namespace hareshore {
+
+enum class Shape : uint8_t { kArray, kGang };
+enum class Rank : uint8_t { kIdle, kStandard, kHigh, kProduction };
+
+struct JobSpec {
+    std::string id, job_class, team;
+    Shape shape = Shape::kArray;
+    Rank rank = Rank::kStandard;
+    uint32_t tasks = 0;
+    double cpus = 0, gpus = 0, memory_gb = 0;  // each task
+    std::string image;
+    double image_gb = 0;
+    std::vector<std::string> flavors;  // empty: any
+    std::string zone;                  // empty: any
+    bool one_zone = false, apart = false, spot = false;
+    Seconds estimate_s = 0, checkpoint_s = 0, save_s = 0;
+    std::optional<Seconds> due_s;
+
+    bool gang() const { return shape == Shape::kGang; }
+    bool allows(const std::string& flavor, const std::string& in_zone, bool is_spot) const {
+        if (is_spot && !spot) return false;
+        if (!zone.empty() && zone != in_zone) return false;
+        if (flavors.empty()) return true;
+        for (const auto& f : flavors)
+            if (f == flavor) return true;
+        return false;
+    }
+    bool operator==(const JobSpec&) const = default;
+};
+
+enum class JobPhase : uint8_t { kPending, kRunning, kDone, kWithdrawn };
+
+}  // namespace hareshore
--- /dev/null
+++ b/src/jobs/table.cc
@@ -0,0 +1,443 @@
+#include "jobs/table.h"
+
+#include <algorithm>
+
+#include "base/constants.h"
+#include "base/log.h"
+
+namespace hareshore {
+
+const char* wait_text(Wait w) {
+    switch (w) {
+        case Wait::kNone: return "not waiting";
+        case Wait::kNew: return "just arrived, not looked at yet";
+        case Wait::kTeamLimit: return "its team's limit is used up";
+        case Wait::kNoRoom: return "no machine that it may use has room";
+        case Wait::kGangRoom: return "no room for all tasks of the gang at once";
+        case Wait::kHeldForImage: return "held briefly for an idle machine that has its image";
+        case Wait::kBackoff: return "its tasks failed on several machines; it is tried again later";
+        case Wait::kOldAttempt: return "tasks of its last attempt are still on their machines";
+        case Wait::kRecordFull: return "its record is full; more tasks start as others finish";
+    }
+    return "";
+}
+
+bool Job::room_in_record(size_t value_bytes, uint32_t more) const {
+    size_t used = constants::kRecordSpare + done.pieces() * 13 + (live.size() + more) * constants::kPlacementBytes;
+    return used < value_bytes;
+}
+
+JobRecord Job::record() const {
+    JobRecord r;
+    r.spec = spec;
+    r.accepted_wall = accepted_wall;
+    r.withdrawn = withdrawn;
+    r.done = done;
+    r.next_attempt = next_attempt;
+    for (const auto& [task, p] : live) r.live[task] = {p.attempt, p.host, p.zone};
+    return r;
+}
+
+Job* JobTable::find(const std::string& id) {
+    auto it = jobs_.find(id);
+    return it == jobs_.end() ? nullptr : it->second.get();
+}
+const Job* JobTable::find(const std::string& id) const {
+    auto it = jobs_.find(id);
+    return it == jobs_.end() ? nullptr : it->second.get();
+}
+
+Job& JobTable::load(const JobRecord& r, uint64_t stamp, Seconds now, double wall) {
+    auto& slot = jobs_[r.spec.id];
+    if (slot) {
+        // Only users change a record besides this leader, and only to withdraw the job.
+        if (stamp > slot->stamp) slot->stamp = stamp;
+        if (r.withdrawn && !slot->withdrawn) withdraw(*slot, now);
+        return *slot;
+    }
+    slot = std::make_unique<Job>();
+    Job& j = *slot;
+    j.spec = r.spec;
+    j.accepted_wall = r.accepted_wall;
+    j.accepted = now - std::max(0.0, wall - r.accepted_wall);
+    j.waiting_since = now;
+    j.done = r.done;
+    j.next_attempt = r.next_attempt;
+    j.stamp = stamp;
+    j.pending = Ranges::whole(r.spec.tasks);
+    for (uint32_t n = 0; n < r.spec.tasks && !j.done.empty(); ++n)
+        if (j.done.has(n)) j.pending.remove(n);
+    for (const auto& [task, b] : r.live) {
+        if (j.done.has(task)) continue;
+        Placement p;
+        p.attempt = b.attempt;
+        p.host = b.host;
+        p.zone = b.zone;
+        p.inherited = true;
+        p.bound_at = now;
+        j.live[task] = p;
+        j.pending.remove(task);
+        by_host_[b.host].insert({r.spec.id, task});
+        // A gang's tasks share an attempt. Whether it has started is not kept: it counts as started, so
+        // that no replacement joins an attempt that has already run.
+        j.attempt = std::max(j.attempt, b.attempt);
+        j.started = true;
+    }
+    if (j.spec.gang() && !j.live.empty() && j.live.size() < j.spec.tasks) {
+        j.broken = true;
+        stop_gang(j, 0);
+    }
+    if (r.withdrawn) withdraw(j, now);
+    return j;
+}
+
+void JobTable::erase(const std::string& id) {
+    Job* j = find(id);
+    if (!j) return;
+    for (const auto& [task, p] : j->live) by_host_[p.host].erase({id, task});
+    jobs_.erase(id);
+}
+
+void JobTable::clear() {
+    jobs_.clear();
+    dirty_.clear();
+    queued_.clear();
+    by_host_.clear();
+}
+
+void JobTable::touch(Job& job) {
+    ++job.version;
+    requeue(job);
+}
+
+void JobTable::requeue(Job& job) {
+    if (queued_.insert(job.spec.id).second) dirty_.push_back(job.spec.id);
+}
+
+std::vector<Job*> JobTable::take_dirty(size_t most_ops, size_t most_bytes) {
+    std::vector<Job*> out;
+    std::vector<std::string> rest;
+    size_t ops = 0, bytes = 0;
+    bool full = false;
+    for (auto& id : dirty_) {
+        Job* j = find(id);
+        if (!j || !j->dirty()) {
+            queued_.erase(id);
+            continue;
+        }
+        size_t cost = j->over() || j->withdrawn ? 2 : 1;
+        size_t size = constants::kRecordSpare + j->done.pieces() * 13 + j->live.size() * constants::kPlacementBytes;
+        full = full || ops + cost > most_ops || (bytes > 0 && bytes + size > most_bytes);
+        if (full) {
+            rest.push_back(std::move(id));
+            continue;
+        }
+        ops += cost;
+        bytes += size;
+        queued_.erase(id);
+        out.push_back(j);
+    }
+    dirty_ = std::move(rest);
+    return out;
+}
+
+Placement& JobTable::bind(Job& job, uint32_t task, const Host& host, uint64_t attempt, Seconds now) {
+    touch(job);
+    Placement p;
+    p.attempt = attempt;
+    p.host = host.name;
+    p.zone = host.zone;
+    p.version = job.version;
+    p.bound_at = now;
+    job.pending.remove(task);
+    by_host_[host.name].insert({job.spec.id, task});
+    return job.live[task] = p;
+}
+
+// The task is on no machine any more: it waits again, unless it is done.
+void JobTable::release(Job& job, uint32_t task, Seconds now) {
+    auto it = job.live.find(task);
+    if (it == job.live.end()) return;
+    by_host_[it->second.host].erase({job.spec.id, task});
+    job.live.erase(it);
+    if (!job.done.has(task)) {
+        if (job.pending.empty()) job.waiting_since = now;
+        job.pending.add(task);
+    }
+    touch(job);
+    settle(job);
+}
+
+void JobTable::settle(Job& job) {
+    if (job.live.empty()) job.started = job.broken = false;
+}
+
+void JobTable::complete(Job& job, uint32_t task, Seconds now) {
+    job.done.add(task);
+    job.pending.remove(task);
+    job.failed_on.clear();
+    job.blamed = false;
+    job.backoff_s = 0;
+    release(job, task, now);
+    touch(job);
+    if (!job.spec.gang()) return;
+    // A gang completes together. Its other tasks still count on their machines until they report it.
+    for (uint32_t n = 0; n < job.spec.tasks; ++n) {
+        job.done.add(n);
+        job.pending.remove(n);
+    }
+    while (!job.live.empty()) release(job, job.live.begin()->first, now);
+}
+
+void JobTable::withdraw(Job& job, Seconds now) {
+    job.withdrawn = true;
+    for (auto& [task, p] : job.live) {
+        p.stopping = true;
+        p.grace_s = 0;
+        urgent_.insert(p.host);
+    }
+    // What this leader bound and never sent cannot be on a machine.
+    for (auto it = job.live.begin(); it != job.live.end();) {
+        uint32_t task = it->first;
+        bool unsent = !it->second.inherited && it->second.sent_seq == 0 && !it->second.seen;
+        ++it;
+        if (unsent) release(job, task, now);
+    }
+    touch(job);
+}
+
+void JobTable::stop_gang(Job& job, Seconds grace) {
+    for (auto& [task, p] : job.live) {
+        if (p.stopping && p.grace_s <= grace) continue;
+        p.stopping = true;
+        p.grace_s = grace;
+        urgent_.insert(p.host);
+    }
+}
+
+void JobTable::stop(Job& job, uint32_t task, Seconds now) {
+    (void)now;
+    Seconds grace = job.spec.save_s + constants::kSaveSpare_s;
+    if (job.spec.gang()) {
+        stop_gang(job, grace);
+        job.broken = true;
+        return;
+    }
+    auto it = job.live.find(task);
+    if (it == job.live.end() || it->second.stopping) return;
+    it->second.stopping = true;
+    it->second.grace_s = grace;
+    urgent_.insert(it->second.host);
+}
+
+void JobTable::host_gone(const std::string& host, Seconds now) {
+    auto it = by_host_.find(host);
+    if (it == by_host_.end()) return;
+    auto tasks = it->second;
+    for (const auto& [id, task] : tasks) {
+        Job* j = find(id);
+        if (!j) continue;
+        if (j->spec.gang() && j->started) j->broken = true;
+        release(*j, task, now);
+    }
+    by_host_.erase(host);
+}
+
+// One failed task says little. A machine that fails different jobs is condemned; a job that fails on
+// several machines is blamed itself, waits longer each time, and no longer counts against machines.
+void JobTable::failed(Cluster& cluster, Host& host, Job& job, Seconds now) {
+    job.failed_on.insert(host.name);
+    if (job.failed_on.size() >= static_cast<size_t>(constants::kJobHosts)) {
+        if (!job.blamed) {
+            job.blamed = true;
+            log::info("job {}: failed on {} machines, taken for a faulty job", job.spec.id, job.failed_on.size());
+            for (auto& [name, h] : cluster.hosts) h->failed_jobs.erase(job.spec.id);
+        }
+    }
+    if (job.failed_on.size() >= 2) {
+        job.backoff_s = std::clamp(job.backoff_s * 2, constants::kJobBackoff_s, constants::kJobBackoffMax_s);
+        job.not_before = now + job.backoff_s;
+    }
+    if (job.blamed) return;
+    host.failed_jobs.insert(job.spec.id);
+    if (host.failed_jobs.size() >= static_cast<size_t>(constants::kHostErrors) && !host.condemned) {
+        host.condemned = true;
+        host.why_condemned = "tasks of different jobs fail on it";
+        log::info("machine {}: condemned: {}", host.name, host.why_condemned);
+    }
+}
+
+void JobTable::exited(Cluster& cluster, Host& host, Job& job, uint32_t task, const ReportedTask& t, Seconds now) {
+    log::debug("task {} attempt {} on {} exited, cause {}", t.name.text(), t.attempt, host.name,
+               static_cast<int>(t.cause));
+    switch (t.cause) {
+        case ExitCause::kDone:
+            host.failed_jobs.clear();
+            complete(job, task, now);
+            return;
+        case ExitCause::kError:
+            failed(cluster, host, job, now);
+            break;
+        case ExitCause::kNoRoom:
+        case ExitCause::kBusy:
+        case ExitCause::kUnknownJob:
+            log::info("task {} refused by {}, cause {}", t.name.text(), host.name, static_cast<int>(t.cause));
+            break;
+        default:
+            break;
+    }
+    if (job.spec.gang()) {
+        // After its start a gang that lost a task ends; before, a replacement may complete it, but not
+        // when it ran out of time.
+        if (job.started || t.cause == ExitCause::kIncomplete || t.cause == ExitCause::kPeersGone) job.broken = true;
+        if (t.cause == ExitCause::kError) job.broken = true;
+    }
+    release(job, task, now);
+    if (job.spec.gang() && job.broken && !job.withdrawn) {
+        // The rest of a stopping gang may still be saving; the rest of a failed one has nothing to save.
+        bool orderly = t.cause == ExitCause::kStopped;
+        if (!orderly) stop_gang(job, 0);
+    }
+}
+
+bool JobTable::apply(Cluster& cluster, Host& host, const Report& r, bool absence, Seconds now) {
+    bool news = false;
+    std::map<std::pair<TaskName, uint64_t>, HostTask> before;
+    for (auto& t : host.tasks) before[{t.name, t.attempt}] = t;
+    host.tasks.clear();
+    host.session = r.session;
+    host.seq = r.seq;
+    host.addr = r.addr;
+    host.flavor = r.flavor;
+    host.zone = r.zone;
+    host.spot = r.spot;
+    host.phase = MachinePhase::kRunning;
+    if (r.notice_s && host.leaves_at < 0) {
+        host.leaves_at = now + *r.notice_s;
+        log::info("machine {}: spot notice, {:.0f} s left", host.name, *r.notice_s);
+    }
+    std::set<TaskName> present;
+    for (const auto& t : r.tasks) {
+        HostTask x;
+        auto was = before.find({t.name, t.attempt});
+        if (was != before.end()) x = was->second;
+        TaskPhase old = was != before.end() ? was->second.phase : TaskPhase::kFetching;
+        bool known_exit = was != before.end() && old == TaskPhase::kExited;
+        x.name = t.name;
+        x.attempt = t.attempt;
+        x.phase = t.phase;
+        x.cause = t.cause;
+        if (was == before.end() || old != t.phase) news = true;
+        Job* job = find(t.name.job);
+        if (job) {
+            x.sized = true;
+            x.amount = Amount::of(job->spec);
+            x.team = job->spec.team;
+            if (t.phase != TaskPhase::kFetching && t.cause != ExitCause::kNoRoom && t.cause != ExitCause::kBusy &&
+                t.cause != ExitCause::kUnknownJob && !known_exit)
+                host.cache.use(job->spec.image, job->spec.image_gb);
+            auto it = job->live.find(t.name.task);
+            bool mine = it != job->live.end() && it->second.host == host.name && it->second.attempt == t.attempt;
+            // A gang's replacement may come to a machine that still lists an exit of the same attempt.
+            if (mine && known_exit && !it->second.seen) mine = false;
+            if (mine) {
+                present.insert(t.name);
+                Placement& p = it->second;
+                p.seen = true;
+                p.phase = t.phase;
+                if (t.phase == TaskPhase::kRunning) {
+                    if (p.running_since < 0) p.running_since = now;
+                    job->started = true;
+                }
+                if (t.phase == TaskPhase::kExited) {
+                    exited(cluster, host, *job, t.name.task, t, now);
+                    x.exit_version = job->version;
+                }
+            } else if (t.phase == TaskPhase::kExited && t.cause == ExitCause::kDone && !job->done.has(t.name.task) &&
+                       t.name.task < job->spec.tasks && it == job->live.end()) {
+                // A result of an attempt that was given up: the work is done all the same.
+                complete(*job, t.name.task, now);
+                x.exit_version = job->version;
+            } else if (t.phase == TaskPhase::kExited && !known_exit) {
+                x.exit_version = job->version;
+            }
+        }
+        host.tasks.push_back(std::move(x));
+    }
+    if (absence) {
+        auto tasks = on_host(host.name);
+        for (const auto& [id, task] : tasks) {
+            Job* job = find(id);
+            if (!job || present.count({id, task})) continue;
+            auto it = job->live.find(task);
+            if (it == job->live.end()) continue;
+            Placement& p = it->second;
+            bool committed = p.inherited || job->committed >= p.version;
+            if (!committed) continue;
+            // A newer report without the task: every launch sent before it is void, since the worker has
+            // one report in flight and drops what answers an older one.
+            if (p.sent_seq != 0 && !r.newer_than(p.sent_session, p.sent_seq)) continue;
+            bool lost = p.seen || (p.inherited && job->spec.gang());
+            if (job->withdrawn || p.stopping || lost) {
+                news = true;
+                if (job->spec.gang() && job->started) job->broken = true;
+                release(*job, task, now);
+                if (job->spec.gang() && job->broken && !job->withdrawn) stop_gang(*job, 0);
+            }
+        }
+    }
+    return news;
+}
+
+const std::set<std::pair<std::string, uint32_t>>& JobTable::on_host(const std::string& host) const {
+    static const std::set<std::pair<std::string, uint32_t>> none;
+    auto it = by_host_.find(host);
+    return it == by_host_.end() ? none : it->second;
+}
+
+bool JobTable::awaits_commit(const Host& host) const {
+    for (const auto& [id, task] : on_host(host.name)) {
+        const Job* j = find(id);
+        if (!j) continue;
+        const Placement& p = j->live.at(task);
+        if (!p.inherited && j->committed < p.version && !j->withdrawn) return true;
+    }
+    return false;
+}
+
+std::vector<Order> JobTable::orders(Host& host, bool launches) {
+    std::vector<Order> out;
+    std::set<std::pair<TaskName, uint64_t>> present;
+    for (const auto& t : host.tasks) {
+        present.insert({t.name, t.attempt});
+        Job* job = find(t.name.job);
+        if (t.phase == TaskPhase::kExited) {
+            // Forgotten only when the state service has what came of it.
+            if (!job || job->committed >= t.exit_version) out.push_back({Verb::kForget, t.name, t.attempt, 0});
+            continue;
+        }
+        auto it = job ? job->live.find(t.name.task) : decltype(job->live.find(0)){};
+        bool mine = job && it != job->live.end() && it->second.host == host.name && it->second.attempt == t.attempt;
+        if (!mine) {
+            // Nothing vouches for it: its job is over, or its attempt was given up.
+            out.push_back({Verb::kHalt, t.name, t.attempt, 0});
+        } else if (it->second.stopping && !(t.phase == TaskPhase::kSaving && it->second.grace_s > 0)) {
+            out.push_back({Verb::kHalt, t.name, t.attempt, it->second.grace_s});
+        }
+    }
+    if (!launches) return out;
+    for (const auto& [id, task] : on_host(host.name)) {
+        Job* job = find(id);
+        if (!job || job->withdrawn) continue;
+        Placement& p = job->live.at(task);
+        if (p.stopping || p.seen || present.count({{id, task}, p.attempt})) continue;
+        if (!p.inherited && job->committed < p.version) continue;
+        if (job->spec.gang() && job->broken) continue;
+        out.push_back({Verb::kLaunch, {id, task}, p.attempt, 0});
+        p.sent_session = host.session;
+        p.sent_seq = host.seq;
+    }
+    return out;
+}
+
+}  // namespace hareshore
--- /dev/null
+++ b/src/jobs/table.h
@@ -0,0 +1,129 @@
+// The unfinished jobs and their lifecycle. No I/O; time is a parameter.
+#pragma once
+#include <functional>
+#include <memory>
+#include <set>
+#include <unordered_map>
+
+#include "fleet/cluster.h"
+#include "jobs/record.h"
+
+namespace hareshore {
+
+struct Placement {
+    uint64_t attempt = 0;
+    std::string host, zone;
+    uint64_t version = 0;      // the job's version that first holds it; launched once that is committed
+    bool inherited = false;    // from an earlier leader, who may have launched it
+    uint64_t sent_session = 0, sent_seq = 0;  // newest report whose answer carried the launch; 0: none
+    bool seen = false;         // the machine has reported it
+    TaskPhase phase = TaskPhase::kFetching;
+    Seconds bound_at = 0;
+    bool stopping = false;     // it is being stopped, with this much time to save
+    Seconds grace_s = 0;
+    Seconds running_since = -1;
+};
+
+// Why a job's tasks wait, for the operators.
+enum class Wait : uint8_t {
+    kNone,
+    kNew,
+    kTeamLimit,
+    kNoRoom,
+    kGangRoom,
+    kHeldForImage,
+    kBackoff,
+    kOldAttempt,
+    kRecordFull,
+};
+const char* wait_text(Wait w);
+
+struct Job {
+    JobSpec spec;
+    double accepted_wall = 0;
+    Seconds accepted = 0;  // on this process's clock
+    bool withdrawn = false;
+    Ranges done;
+    Ranges pending;  // neither done nor live
+    uint64_t next_attempt = 1;
+    std::map<uint32_t, Placement> live;
+
+    uint64_t stamp = 0;      // of the record in the state service
+    uint64_t version = 0;    // counts the changes that must be kept
+    uint64_t committed = 0;  // the last version that the state service has
+    uint64_t inflight = 0;   // the version in the transaction on its way
+
+    // Gangs: the attempt that is under way, and whether it has started or lost a task.
+    uint64_t attempt = 0;
+    bool started = false, broken = false;
+
+    std::set<std::string> failed_on;  // machines, since the last success
+    Seconds not_before = 0, backoff_s = 0;
+    bool blamed = false;
+    Seconds waiting_since = 0;
+    bool stray = false;  // a machine runs a task of it that no placement accounts for
+    Wait why = Wait::kNew;
+    Seconds why_logged = -1e9;
+
+    bool over() const { return done.size() == spec.tasks; }
+    bool dirty() const { return version != committed; }
+    bool waiting() const { return !withdrawn && !over() && !pending.empty(); }
+    bool room_in_record(size_t value_bytes, uint32_t more) const;
+    JobRecord record() const;
+};
+
+class JobTable {
+  public:
+    using Map = std::unordered_map<std::string, std::unique_ptr<Job>>;
+    const Map& all() const { return jobs_; }
+    Job* find(const std::string& id);
+    const Job* find(const std::string& id) const;
+    size_t size() const { return jobs_.size(); }
+
+    // A record read from the state service: a new job, or news of a known one.
+    Job& load(const JobRecord& record, uint64_t stamp, Seconds now, double wall);
+    void erase(const std::string& id);
+    void clear();
+
+    Placement& bind(Job& job, uint32_t task, const Host& host, uint64_t attempt, Seconds now);
+    void withdraw(Job& job, Seconds now);
+    // Starts to stop a task, or the whole gang it belongs to.
+    void stop(Job& job, uint32_t task, Seconds now);
+    // Frees the placements on a machine that is confirmed to be gone.
+    void host_gone(const std::string& host, Seconds now);
+    // Marks the job changed; it will be written.
+    void touch(Job& job);
+    // Jobs with changes that are not on their way, oldest change first.
+    std::vector<Job*> take_dirty(size_t most_ops, size_t most_bytes);
+    bool any_dirty() const { return !dirty_.empty(); }
+    void requeue(Job& job);
+
+    // Takes in a machine's report; `absence` says that what it lacks is proven not to be there.
+    // Returns whether anything changed that matters to others (room, phases).
+    bool apply(Cluster& cluster, Host& host, const Report& report, bool absence, Seconds now);
+    // The commands for the machine now: launches of committed placements, halts, forgets. Launches only
+    // when they answer a report (`launches`), whose session and number are remembered with them.
+    std::vector<Order> orders(Host& host, bool launches);
+    // Machines that have been given new halts since the last call; a halt should not wait for a report.
+    std::set<std::string> take_urgent() { return std::exchange(urgent_, {}); }
+    // Whether the machine has placements that wait for their commit.
+    bool awaits_commit(const Host& host) const;
+    // Jobs with placements on the machine, kept up to date by bind and release.
+    const std::set<std::pair<std::string, uint32_t>>& on_host(const std::string& host) const;
+
+  private:
+    void release(Job& job, uint32_t task, Seconds now);
+    void settle(Job& job);
+    void complete(Job& job, uint32_t task, Seconds now);
+    void exited(Cluster& cluster, Host& host, Job& job, uint32_t task, const ReportedTask& t, Seconds now);
+    void failed(Cluster& cluster, Host& host, Job& job, Seconds now);
+    void stop_gang(Job& job, Seconds grace);
+
+    Map jobs_;
+    std::vector<std::string> dirty_;  // ids, in order of change
+    std::set<std::string> queued_;    // what dirty_ holds
+    std::set<std::string> urgent_;
+    std::map<std::string, std::set<std::pair<std::string, uint32_t>>> by_host_;
+};
+
+}  // namespace hareshore
--- /dev/null
+++ b/src/lead/election.cc
@@ -0,0 +1,170 @@
+#include "lead/election.h"
+
+#include "base/constants.h"
+#include "base/log.h"
+
+namespace hareshore {
+
+namespace {
+
+std::string pack_leader(const std::string& label, uint64_t epoch) {
+    Packer p;
+    p.map(2).key("node").text(label).key("epoch").count(epoch);
+    return p.take();
+}
+
+}  // namespace
+
+Election::Election(Loop& loop, StateService& state, std::string label, double spread)
+    : loop_(loop), state_(state), label_(std::move(label)), spread_(spread), changed_(loop) {}
+
+void Election::pause_longer() {
+    pause_ = std::clamp(pause_ * 2, constants::kRetryPause_s, constants::kRetryPauseMax_s);
+}
+
+void Election::deposed(const char* why) {
+    if (!leading_) return;
+    log::info("leadership of epoch {} lost: {}", epoch_, why);
+    leading_ = false;
+    leader_.clear();
+    changed_.notify();
+}
+
+void Election::heard(const std::string& label, uint64_t epoch) {
+    if (epoch <= known_epoch_) return;
+    known_epoch_ = epoch;
+    if (leading_) deposed("a sibling leads in a later epoch");
+    leader_ = label;
+    changed_.notify();
+}
+
+void Election::resign(Seconds stay_out) {
+    out_until_ = loop_.now() + stay_out;
+    resigning_ = true;
+    deposed("resigned");
+}
+
+Task<void> Election::run() {
+    while (true) {
+        if (leading_) {
+            co_await keep();
+        } else {
+            co_await follow();
+        }
+    }
+}
+
+Task<void> Election::follow() {
+    if (resigning_) {
+        // Workers may be launched nothing by us any more; the key goes at once, so that others need not wait.
+        resigning_ = false;
+        co_await state_.revoke(lease_, constants::kStateCall_s);
+    }
+    GetResult got = co_await state_.get(kLeaderKey, constants::kStateCall_s);
+    if (got.reply == Reply::kAbsent) {
+        pause_ = 0;
+        if (!leader_.empty()) {
+            leader_.clear();
+            changed_.notify();
+        }
+        if (loop_.now() < out_until_) {
+            co_await loop_.sleep(constants::kLeadRenew_s);
+            co_return;
+        }
+        co_await loop_.sleep(spread_ * constants::kElectionSpread_s);
+        co_await stand();
+        co_return;
+    }
+    if (got.reply != Reply::kOk) {
+        pause_longer();
+        co_await loop_.sleep(pause_);
+        co_return;
+    }
+    pause_ = 0;
+    auto m = Message::parse(got.entry.data);
+    std::string node = m ? m->root()["node"].text_or("") : "";
+    uint64_t epoch = m ? m->root()["epoch"].count_or(0) : 0;
+    known_epoch_ = std::max(known_epoch_, epoch);
+    if (node == label_) {
+        // Left by this node's last process, which is gone: no need to wait for its lease.
+        log::info("ending the leadership left by an earlier process");
+        co_await state_.revoke(got.entry.lease, constants::kStateCall_s);
+        co_return;
+    }
+    if (leader_ != node) {
+        log::info("{} leads in epoch {}", node, epoch);
+        leader_ = node;
+        changed_.notify();
+    }
+    ChangesResult c = co_await state_.changes(kLeaderKey, got.entry.stamp, constants::kLeadWatch_s);
+    if (c.reply != Reply::kOk && c.reply != Reply::kAbsent) {
+        pause_longer();
+        co_await loop_.sleep(pause_);
+    }
+}
+
+Task<void> Election::stand() {
+    GetResult term = co_await state_.get(kTermKey, constants::kStateCall_s);
+    if (term.reply != Reply::kOk && term.reply != Reply::kAbsent) {
+        pause_longer();
+        co_await loop_.sleep(pause_);
+        co_return;
+    }
+    uint64_t last = 0;
+    if (term.reply == Reply::kOk) {
+        auto m = Message::parse(term.entry.data);
+        last = m ? m->root()["epoch"].count_or(0) : 0;
+        if (last == 0) {
+            log::error("the term in the state service is not readable");
+            co_await loop_.sleep(constants::kRetryPauseMax_s);
+            co_return;
+        }
+    }
+    Seconds asked = loop_.now();
+    LeaseResult lease = co_await state_.grant(constants::kLeadTtl_s, constants::kStateCall_s);
+    if (lease.reply != Reply::kOk) {
+        pause_longer();
+        co_await loop_.sleep(pause_);
+        co_return;
+    }
+    uint64_t epoch = std::max(last, known_epoch_) + 1;
+    Txn txn;
+    txn.expect(kLeaderKey, 0).expect(kTermKey, term.reply == Reply::kOk ? term.entry.stamp : 0);
+    std::string mine = pack_leader(label_, epoch);
+    txn.put(kLeaderKey, mine, lease.lease).put(kTermKey, mine);
+    TxnResult r = co_await state_.commit(std::move(txn), constants::kStateCall_s);
+    if (r.reply == Reply::kUnknown) {
+        // It may have been carried out: only the key can tell, and a late copy cannot win once the term
+        // has moved on.
+        GetResult now = co_await state_.get(kLeaderKey, constants::kStateCall_s);
+        if (now.reply == Reply::kOk && now.entry.lease == lease.lease) {
+            r.reply = Reply::kOk;
+            r.tide = now.entry.stamp;
+        }
+    }
+    if (r.reply != Reply::kOk) {
+        co_await state_.revoke(lease.lease, constants::kStateCall_s);
+        co_return;
+    }
+    lease_ = lease.lease;
+    epoch_ = epoch;
+    stamp_ = r.tide;
+    known_epoch_ = epoch;
+    leading_ = true;
+    leader_ = label_;
+    log::info("leading in epoch {} after {:.0f} ms", epoch_, (loop_.now() - asked) * 1000);
+    changed_.notify();
+}
+
+Task<void> Election::keep() {
+    Seconds pause = constants::kLeadRenew_s;
+    while (leading_) {
+        co_await loop_.wait(changed_, loop_.now() + pause);
+        if (!leading_) co_return;
+        Reply r = co_await state_.renew(lease_, constants::kStateCall_s);
+        if (r == Reply::kAbsent) deposed("its lease ended");
+        pause = r == Reply::kOk ? constants::kLeadRenew_s : constants::kRetryPause_s * 2;
+    }
+}
+
+}  // namespace hareshore
--- /dev/null
+++ b/src/lead/election.h
@@ -0,0 +1,48 @@
+// Leadership: a leased key in the state service. Its term is the workers' epoch and is never reused.
+#pragma once
+#include "state/state.h"
+
+namespace hareshore {
+
+inline const std::string kLeaderKey = "leader";
+inline const std::string kTermKey = "term";
+
+class Election {
+  public:
+    Election(Loop& loop, StateService& state, std::string label, double spread);
+    Task<void> run();
+
+    bool leading() const { return leading_; }
+    uint64_t epoch() const { return epoch_; }            // our term, while leading
+    uint64_t stamp() const { return stamp_; }            // of the leadership key: the condition of every write
+    const std::string& leader() const { return leader_; }  // who is thought to lead; may be empty
+    uint64_t known_epoch() const { return known_epoch_; }  // highest term heard of
+    Signal& changed() { return changed_; }
+
+    // Proof that another leads in a later term.
+    void deposed(const char* why);
+    // A sibling says that it leads.
+    void heard(const std::string& label, uint64_t epoch);
+    // Gives leadership up and stays out of the next elections for a while.
+    void resign(Seconds stay_out);
+
+  private:
+    Task<void> follow();
+    Task<void> stand();
+    Task<void> keep();
+    void pause_longer();
+
+    Loop& loop_;
+    StateService& state_;
+    std::string label_;
+    double spread_;  // 0 to 1: this node's place among the candidates
+    bool leading_ = false;
+    bool resigning_ = false;
+    uint64_t epoch_ = 0, stamp_ = 0, lease_ = 0, known_epoch_ = 0;
+    std::string leader_;
+    Seconds out_until_ = -1;
+    Seconds pause_ = 0;
+    Signal changed_;
+};
+
+}  // namespace hareshore
--- /dev/null
+++ b/src/lead/leader.cc
@@ -0,0 +1,527 @@
+#include "lead/leader.h"
+
+#include <algorithm>
+
+#include "base/constants.h"
+#include "base/log.h"
+
+namespace hareshore {
+
+namespace {
+
+// Keeps the leader alive while one of its routines runs.
+Task<void> holding(std::shared_ptr<Leader> self, Task<void> task) {
+    (void)self;
+    co_await task;
+}
+
+const std::string kFlavorsKey = "flavors";
+
+}  // namespace
+
+Leader::Leader(Loop& loop, const Config& config, const Settings& settings, StateService& state, Cloud& cloud, Term term,
+               std::vector<Flavor> flavors, Vouch vouch, Deposed deposed)
+    : loop_(loop),
+      config_(config),
+      settings_(settings),
+      state_(state),
+      cloud_(cloud),
+      term_(std::move(term)),
+      vouch_(std::move(vouch)),
+      deposed_(std::move(deposed)),
+      writes_(config.write_rps * constants::kLeaderShare, std::max(2.0, config.write_rps * constants::kLeaderShare)),
+      ready_(loop),
+      dirty_(loop),
+      scope_(loop) {
+    cluster_.flavors = std::move(flavors);
+}
+
+void Leader::spawn(Task<void> task, const char* name) {
+    scope_.spawn(holding(shared_from_this(), std::move(task)), name);
+}
+
+void Leader::start() {
+    spawn(load(), "load");
+}
+
+void Leader::stop() {
+    stopped_ = true;
+    scope_.cancel();
+    ready_.notify();
+    for (auto& [name, l] : lines_) l->wake.notify();
+}
+
+Leader::Line& Leader::line(const std::string& host) {
+    auto& l = lines_[host];
+    if (!l) l = std::make_unique<Line>(loop_);
+    return *l;
+}
+
+void Leader::wake(const std::string& host) {
+    auto it = lines_.find(host);
+    if (it != lines_.end()) it->second->wake.notify();
+}
+
+// --- records ------------------------------------------------------------------------------------------
+
+Task<void> Leader::load() {
+    Seconds began = loop_.now();
+    while (!co_await read_records()) co_await loop_.sleep(constants::kRetryPause_s * 2);
+    loaded_ = true;
+    loaded_at_ = loop_.now();
+    log::info("view rebuilt from {} records in {:.0f} ms", jobs_.size(), (loaded_at_ - began) * 1000);
+    ready_.notify();
+    spawn(watch(), "watch");
+    spawn(commit(), "commit");
+    spawn(read_prices(), "prices");
+    spawn(read_machines(), "machine list");
+    spawn(run_fleet(), "fleet");
+}
+
+Task<bool> Leader::read_records() {
+    std::string from;
+    uint64_t tide = 0;
+    Seconds began = loop_.now();
+    while (true) {
+        ListResult page = co_await state_.list(kLivePrefix, from, constants::kStatePage, constants::kStateCall_s * 2);
+        if (page.reply != Reply::kOk) co_return false;
+        if (tide == 0) tide = page.tide;  // changes since the first page are watched
+        for (auto& e : page.entries) {
+            from = e.key;
+            Change c{e.key, false, e.stamp, std::move(e.data)};
+            take_change(c);
+        }
+        if (!page.more) break;
+    }
+    tide_ = tide;
+    fresh_ = began;
+    co_return true;
+}
+
+void Leader::take_change(const Change& c) {
+    if (c.dropped) return;  // only this leader drops records, and it knows
+    auto record = JobRecord::unpack(c.data);
+    if (!record || live_key(record->spec.id) != c.key) {
+        log::error("record {} is not readable", c.key);
+        return;
+    }
+    auto it = finished_.find(record->spec.id);
+    if (it != finished_.end() && c.stamp <= it->second) return;  // an echo from before its end
+    Job& job = jobs_.load(*record, c.stamp, loop_.now(), loop_.wall());
+    for (const auto& [task, p] : job.live) {
+        Host& h = cluster_.ensure(p.host, loop_.now());
+        if (h.zone.empty()) h.zone = p.zone;
+    }
+}
+
+Task<void> Leader::watch() {
+    Seconds pause = 0;
+    while (true) {
+        Seconds sent = loop_.now();
+        ChangesResult r = co_await state_.changes(kLivePrefix, tide_, constants::kWatchWait_s);
+        if (r.reply == Reply::kOk) {
+            pause = 0;
+            for (const auto& c : r.changes) take_change(c);
+            tide_ = std::max(tide_, r.tide);
+            fresh_ = std::max(fresh_, sent);
+            if (!r.changes.empty()) step(nullptr);
+            continue;
+        }
+        if (r.reply == Reply::kAbsent && co_await read_records()) {
+            step(nullptr);
+            continue;
+        }
+        pause = std::clamp(pause * 2, constants::kRetryPause_s, constants::kRetryPauseMax_s);
+        co_await loop_.sleep(pause);
+    }
+}
+
+// One transaction at a time, each conditioned on the leadership key and on the records' stamps, so that
+// a late copy of it can change nothing.
+Task<void> Leader::commit() {
+    Seconds pause = 0;
+    while (true) {
+        if (!jobs_.any_dirty()) {
+            co_await loop_.wait(dirty_, -1);
+            continue;
+        }
+        Seconds wait = writes_.until(2, loop_.now());
+        if (wait > 0) {
+            co_await loop_.sleep(wait);
+            continue;
+        }
+        size_t ops = std::min(config_.txn_ops, static_cast<size_t>(writes_.left(loop_.now())));
+        std::vector<Job*> batch = jobs_.take_dirty(std::max<size_t>(2, ops), constants::kTxnBytes);
+        if (batch.empty()) continue;
+        Txn txn;
+        txn.expect(term_.key, term_.stamp);
+        std::vector<std::string> ids;
+        std::set<std::string> final_ids;
+        for (Job* j : batch) {
+            const std::string& id = j->spec.id;
+            ids.push_back(id);
+            j->inflight = j->version;
+            txn.expect(live_key(id), j->stamp);
+            bool final = j->withdrawn ? j->live.empty() : j->over();
+            if (final) {
+                FinalRecord f{id, j->withdrawn, j->spec.tasks, j->done.size()};
+                txn.put(final_key(id), f.pack()).drop(live_key(id));
+                final_ids.insert(id);
+            } else {
+                txn.put(live_key(id), j->record().pack());
+            }
+        }
+        writes_.take(static_cast<double>(txn.writes.size()), loop_.now());
+        TxnResult r = co_await state_.commit(std::move(txn), constants::kStateCall_s);
+        if (r.reply == Reply::kOk) {
+            pause = 0;
+            std::set<std::string> hosts;
+            for (const auto& id : ids) {
+                Job* j = jobs_.find(id);
+                if (!j) continue;
+                j->stamp = r.tide;
+                j->committed = j->inflight;
+                for (const auto& [task, p] : j->live) hosts.insert(p.host);
+                if (final_ids.count(id)) finished(id, r.tide);
+            }
+            for (const auto& h : hosts) wake(h);
+            continue;
+        }
+        for (const auto& id : ids)
+            if (Job* j = jobs_.find(id)) jobs_.requeue(*j);
+        if (r.reply == Reply::kConflict) {
+            if (std::find(r.failed.begin(), r.failed.end(), term_.key) != r.failed.end()) {
+                deposed_("the leadership key has changed");
+                co_return;
+            }
+            for (const auto& id : ids)
+                if (std::find(r.failed.begin(), r.failed.end(), live_key(id)) != r.failed.end()) co_await reread(id);
+            step(nullptr);
+            continue;
+        }
+        if (r.reply == Reply::kRefused) writes_.drain(loop_.now());
+        pause = std::clamp(pause * 2, constants::kRetryPause_s, constants::kRetryPauseMax_s);
+        co_await loop_.sleep(pause);
+    }
+}
+
+// A record has another stamp than expected: its user withdrew the job, or an answer of ours was lost.
+Task<bool> Leader::reread(std::string id) {
+    GetResult got = co_await state_.get(live_key(id), constants::kStateCall_s);
+    if (got.reply == Reply::kOk) {
+        take_change({live_key(id), false, got.entry.stamp, got.entry.data});
+        co_return true;
+    }
+    if (got.reply != Reply::kAbsent) co_return false;
+    GetResult end = co_await state_.get(final_key(id), constants::kStateCall_s);
+    if (end.reply == Reply::kOk) finished(id, end.entry.stamp);
+    if (end.reply == Reply::kAbsent) log::error("job {}: its record is gone", id);
+    co_return end.reply == Reply::kOk;
+}
+
+void Leader::finished(const std::string& id, uint64_t tide) {
+    jobs_.erase(id);
+    finished_[id] = tide;
+    finished_order_.push_back(id);
+    if (finished_order_.size() > constants::kFinalCache) {
+        finished_.erase(finished_order_.front());
+        finished_order_.pop_front();
+    }
+}
+
+// --- workers ------------------------------------------------------------------------------------------
+
+// The right to renew: what this answer keeps alive ends at the latest lease_s after the report was sent,
+// and no task may outlive cancel_s after its user was told of the withdrawal. So an answer is allowed
+// while no withdrawal older than the difference can be missing here.
+bool Leader::may_renew() const {
+    Seconds span = (config_.cancel_s - config_.lease_s) * (1 - constants::kDrift) - constants::kRenewMargin_s;
+    Seconds now = loop_.now();
+    return now < fresh_ + span || now < vouch_(fresh_) + span;
+}
+
+Task<Response> Leader::hello(Report r) {
+    Response no{503, "", 0, "application/msgpack"};
+    if (r.epoch > term_.epoch) {
+        deposed_("a worker has seen a later epoch");
+        co_return no;
+    }
+    Seconds began = loop_.now();
+    while (!loaded_ && !stopped_)
+        if (co_await loop_.wait(ready_, began + constants::kHoldReport_s) == Wake::kTimeout) co_return no;
+    if (stopped_ || gone_.count(r.host)) co_return no;
+
+    std::string name = r.host;
+    Host* h = &cluster_.ensure(name, loop_.now());
+    if (h->reported && !r.newer_than(h->session, h->seq)) co_return no;  // a late copy
+    uint64_t mine = ++line(name).reports;
+    h->reported = true;
+    h->last_report = loop_.now();
+    h->current = r.epoch == term_.epoch;
+    bool noticed = h->leaves_at >= 0;
+    // Only a machine that has seen this epoch can no longer be given launches by an earlier leader, so only
+    // then does a task's absence prove anything.
+    jobs_.apply(cluster_, *h, r, h->current, loop_.now());
+    if (h->leaves_at >= 0 && !noticed) drain(*h);
+    line(name).wake.notify();  // an older report of it, if one is held, is let go
+    step(h);
+
+    Seconds hold_until = began + constants::kHoldReport_s;
+    Seconds commit_until = began + constants::kCommitWait_s;
+    while (true) {
+        h = cluster_.host(name);
+        if (stopped_ || !h || line(name).reports != mine) co_return no;
+        Seconds until = -1;
+        bool commits = jobs_.awaits_commit(*h);
+        if (commits) {
+            until = commit_until;
+        } else if (h->usable && h->idle() && h->tasks.empty()) {
+            until = hold_until;
+        }
+        if (loop_.now() >= until) break;
+        struct Held {
+            Leader& l;
+            const std::string& name;
+            ~Held() {
+                if (Host* x = l.cluster_.host(name)) x->holding = false;
+            }
+        } held{*this, name};
+        h->holding = !commits;
+        co_await loop_.wait(line(name).wake, until);
+    }
+    if (!may_renew()) {
+        log::info("report of {} refused: a withdrawal could be missing", name);
+        co_return no;
+    }
+    Response ok;
+    std::vector<Order> orders = jobs_.orders(*h, h->current);
+    for (const auto& o : orders)
+        log::debug("{} {} attempt {} to {}", o.verb == Verb::kLaunch ? "launch" : o.verb == Verb::kHalt ? "halt" : "forget",
+                   o.name.text(), o.attempt, name);
+    ok.body = pack_report_answer(term_.epoch, orders);
+    co_return ok;
+}
+
+// A machine is about to be taken: what can save does so now.
+void Leader::drain(Host& h) {
+    auto tasks = jobs_.on_host(h.name);
+    for (const auto& [id, task] : tasks) {
+        Job* j = jobs_.find(id);
+        if (j && j->spec.checkpoint_s > 0) jobs_.stop(*j, task, loop_.now());
+    }
+}
+
+void Leader::step(Host* asker) {
+    if (!loaded_ || stopped_) return;
+    cluster_.recount(jobs_, loop_.now(), constants::kFreshReports * config_.report_s);
+    MatchInput in{config_, settings_, loop_.now(), {}};
+    if (asker) in.askers.push_back(asker);
+    for (auto& [name, h] : cluster_.hosts)
+        if (h->holding && h.get() != asker) in.askers.push_back(h.get());
+    for (const auto& b : match(cluster_, jobs_, in))
+        log::debug("bound {}/{} attempt {} to {}", b.job->spec.id, b.task, b.job->live.at(b.task).attempt, b.host->name);
+    for (const auto& host : jobs_.take_urgent()) {
+        Line& l = line(host);
+        if (l.ordering) {
+            l.again = true;
+        } else if (Host* h = cluster_.host(host); h && h->reported) {
+            l.ordering = true;
+            spawn(halt(host), "halt");
+        }
+    }
+    if (jobs_.any_dirty()) dirty_.notify();
+}
+
+// Halts go at once; a gang must hear of its stop within gang_peer_s.
+Task<void> Leader::halt(std::string host) {
+    do {
+        line(host).again = false;
+        Host* h = cluster_.host(host);
+        Address to;
+        if (!h || !Address::parse(h->addr, to)) break;
+        std::vector<Order> halts = jobs_.orders(*h, false);
+        std::erase_if(halts, [](const Order& o) { return o.verb != Verb::kHalt; });
+        if (halts.empty()) break;
+        auto report = co_await send_orders(loop_, to, term_.epoch, h->session, std::move(halts));
+        h = cluster_.host(host);
+        if (report && h && report->newer_than(h->session, h->seq)) {
+            jobs_.apply(cluster_, *h, *report, false, loop_.now());
+            step(nullptr);
+        }
+    } while (line(host).again);
+    line(host).ordering = false;
+}
+
+// --- fleet --------------------------------------------------------------------------------------------
+
+Task<void> Leader::read_prices() {
+    while (true) {
+        auto flavors = co_await cloud_.flavors();
+        if (flavors) {
+            cluster_.flavors = std::move(*flavors);
+            if (!flavors_kept_) {
+                // Kept for controllers that start while the cloud is away.
+                Txn txn;
+                txn.expect(term_.key, term_.stamp).put(kFlavorsKey, Cloud::pack_flavors(cluster_.flavors));
+                TxnResult r = co_await state_.commit(std::move(txn), constants::kStateCall_s);
+                flavors_kept_ = r.reply == Reply::kOk;
+            }
+            co_await loop_.sleep(constants::kFlavorsEvery_s);
+        } else {
+            co_await loop_.sleep(constants::kRetryPauseMax_s);
+        }
+    }
+}
+
+Task<void> Leader::read_machines() {
+    while (true) {
+        Seconds asked = loop_.now();
+        auto list = co_await cloud_.list();
+        if (list) {
+            for (const auto& m : *list) {
+                if (gone_.count(m.name)) continue;
+                Host& h = cluster_.ensure(m.name, loop_.now());
+                if (!h.listed) {
+                    h.listed = true;
+                    h.born = asked - m.age_s;
+                    if (!h.reported) {
+                        h.addr = m.addr;
+                        h.flavor = m.flavor;
+                        h.zone = m.zone;
+                        h.spot = m.spot;
+                    }
+                }
+                // Lists may be older than the one before: a machine goes forward only.
+                if (m.phase > h.phase) h.phase = m.phase;
+            }
+        }
+        co_await loop_.sleep(list ? constants::kListEvery_s : constants::kRetryPauseMax_s);
+    }
+}
+
+bool Leader::kind_seen_spot_only() const {
+    bool any = false;
+    for (const auto& [id, j] : jobs_.all()) {
+        any = true;
+        if (!j->spec.spot) return false;
+    }
+    return any;
+}
+
+Task<void> Leader::run_fleet() {
+    while (true) {
+        co_await loop_.sleep(constants::kFleetTick_s);
+        step(nullptr);  // time has passed: what was held may go
+        if (cluster_.flavors.empty()) continue;
+        // The machine list lags; what an earlier leader rented shows up only after that.
+        if (loop_.now() - loaded_at_ < constants::kLeaderSettle_s) continue;
+        FleetInput in{config_, settings_, loop_.now(), loaded_at_, refused_until_, on_order_, true, kind_seen_spot_only()};
+        FleetPlan plan = plan_fleet(cluster_, jobs_, in);
+        for (auto& r : plan.rent) {
+            while (r.number > 0) {
+                Rental part{r.kind, std::min(r.number, constants::kRentAtMost)};
+                r.number -= part.number;
+                on_order_.push_back(part);
+                spawn(rent(part), "rent");
+            }
+        }
+        std::vector<std::string> names;
+        for (const auto& name : plan.give_back) {
+            Host* h = cluster_.host(name);
+            if (!h || h->deleting) continue;
+            h->deleting = true;
+            log::info("machine {} returned: {}", name, plan.reasons[name]);
+            names.push_back(name);
+            if (names.size() == constants::kDeleteAtMost) spawn(remove(std::exchange(names, {})), "return");
+        }
+        if (!names.empty()) spawn(remove(std::move(names)), "return");
+        log_waiting();
+    }
+}
+
+Task<void> Leader::rent(Rental rental) {
+    // The epoch is never reused, so neither is the claim; it is repeated until its answer is known.
+    std::string claim = "r-" + std::to_string(term_.epoch) + "-" + std::to_string(++claims_);
+    Seconds pause = constants::kRetryPause_s;
+    while (true) {
+        RentResult r = co_await cloud_.rent(claim, rental.kind.flavor, rental.kind.zone, rental.kind.spot, rental.number);
+        if (r.result == Rent::kRented || r.result == Rent::kNoCapacity) {
+            for (const auto& name : r.machines) {
+                if (gone_.count(name)) continue;
+                Host& h = cluster_.ensure(name, loop_.now());
+                if (h.reported) continue;
+                h.flavor = rental.kind.flavor;
+                h.zone = rental.kind.zone;
+                h.spot = rental.kind.spot;
+            }
+            log::info("rented {} of {} {} in {}{}", r.machines.size(), rental.number, rental.kind.flavor, rental.kind.zone,
+                      rental.kind.spot ? ", spot" : "");
+            if (r.machines.size() < static_cast<size_t>(rental.number))
+                refused_until_[rental.kind] = loop_.now() + constants::kNoCapacity_s;
+            break;
+        }
+        co_await loop_.sleep(pause);
+        pause = std::min(pause * 2, constants::kRetryPauseMax_s);
+    }
+    for (auto it = on_order_.begin(); it != on_order_.end(); ++it) {
+        if (it->kind == rental.kind && it->number == rental.number) {
+            on_order_.erase(it);
+            break;
+        }
+    }
+}
+
+Task<void> Leader::remove(std::vector<std::string> names) {
+    Seconds pause = constants::kRetryPause_s;
+    while (!co_await cloud_.remove(names)) {
+        co_await loop_.sleep(pause);
+        pause = std::min(pause * 2, constants::kRetryPauseMax_s);
+    }
+    for (const auto& name : names) {
+        jobs_.host_gone(name, loop_.now());
+        cluster_.hosts.erase(name);
+        wake(name);
+        gone_.insert(name);
+    }
+    step(nullptr);
+}
+
+// --- for the operators --------------------------------------------------------------------------------
+
+void Leader::log_waiting() {
+    for (const auto& [id, j] : jobs_.all()) {
+        if (!j->waiting() || loop_.now() - j->waiting_since < constants::kWhyLog_s) continue;
+        if (loop_.now() - j->why_logged < constants::kWhyLog_s) continue;
+        j->why_logged = loop_.now();
+        log::info("job {}: {} of {} tasks wait, the first for {:.0f} s: {}", id, j->pending.size(), j->spec.tasks,
+                  loop_.now() - j->waiting_since, wait_text(j->why));
+    }
+}
+
+std::string Leader::jobs_page() const {
+    std::string s;
+    for (const auto& [id, j] : jobs_.all()) {
+        s += fmt::format("{} {} team {} {} of {} tasks done, {} on machines, {} waiting", id,
+                         j->spec.gang() ? "gang" : "array", j->spec.team, j->done.size(), j->spec.tasks, j->live.size(),
+                         j->pending.size());
+        if (j->withdrawn) s += ", withdrawn";
+        if (j->waiting()) s += fmt::format(" for {:.0f} s: {}", loop_.now() - j->waiting_since, wait_text(j->why));
+        s += '\n';
+    }
+    return s;
+}
+
+std::string Leader::machines_page() const {
+    std::string s;
+    for (const auto& [name, h] : cluster_.hosts) {
+        const char* phase = h->phase == MachinePhase::kBooting   ? "booting"
+                            : h->phase == MachinePhase::kRunning ? "running"
+                                                                 : "failed";
+        s += fmt::format("{} {} {}{} {} {} tasks, report {:.0f} s ago{}{}\n", name, h->flavor, h->zone,
+                         h->spot ? " spot" : "", phase, h->placed, loop_.now() - h->last_report,
+                         h->condemned ? ", condemned: " + h->why_condemned : "", h->deleting ? ", being returned" : "");
+    }
+    return s;
+}
+
+}  // namespace hareshore
--- /dev/null
+++ b/src/lead/leader.h
@@ -0,0 +1,104 @@
+// What the leading controller does: it keeps the view of jobs and machines, binds tasks as reports
+// arrive, commits before it launches, and rents and returns machines.
+#pragma once
+#include <functional>
+#include <random>
+
+#include "base/bucket.h"
+#include "fleet/plan.h"
+#include "match/match.h"
+#include "state/state.h"
+
+namespace hareshore {
+
+class Leader : public std::enable_shared_from_this<Leader> {
+  public:
+    struct Term {
+        uint64_t epoch = 0;
+        uint64_t stamp = 0;  // of the leadership key
+        std::string key;     // the leadership key
+    };
+    // Until when the siblings vouch that no withdrawal was told that this node could be missing, given
+    // that it misses none told before `since`.
+    using Vouch = std::function<Seconds(Seconds since)>;
+    using Deposed = std::function<void(const char* why)>;
+
+    Leader(Loop& loop, const Config& config, const Settings& settings, StateService& state, Cloud& cloud, Term term,
+           std::vector<Flavor> flavors, Vouch vouch, Deposed deposed);
+    void start();
+    void stop();
+    bool stopped() const { return stopped_; }
+    uint64_t epoch() const { return term_.epoch; }
+
+    // A worker's report, and the answer to it. 421 means that another leads.
+    Task<Response> hello(Report report);
+
+    std::string jobs_page() const;
+    std::string machines_page() const;
+    const JobTable& jobs() const { return jobs_; }
+    const Cluster& cluster() const { return cluster_; }
+
+  private:
+    // What belongs to a machine's connection rather than to the machine.
+    struct Line {
+        explicit Line(Loop& loop) : wake(loop) {}
+        Signal wake;
+        uint64_t reports = 0;   // how many came; an older one's answer is dropped by the worker
+        bool ordering = false;  // a direct command is on its way
+        bool again = false;     // another is wanted after it
+    };
+
+    Task<void> load();
+    Task<bool> read_records();
+    Task<void> watch();
+    Task<void> commit();
+    Task<bool> reread(std::string id);
+    Task<void> read_machines();
+    Task<void> read_prices();
+    Task<void> run_fleet();
+    Task<void> rent(Rental rental);
+    Task<void> remove(std::vector<std::string> names);
+    Task<void> halt(std::string host);
+
+    void spawn(Task<void> task, const char* name);
+    void step(Host* asker);  // matches, and sends off what came of it
+    void drain(Host& host);
+    void wake(const std::string& host);
+    Line& line(const std::string& host);
+    bool may_renew() const;
+    void finished(const std::string& id, uint64_t tide);
+    void take_change(const Change& c);
+    void log_waiting();
+    bool kind_seen_spot_only() const;
+
+    Loop& loop_;
+    const Config& config_;
+    const Settings& settings_;
+    StateService& state_;
+    Cloud& cloud_;
+    Term term_;
+    Vouch vouch_;
+    Deposed deposed_;
+
+    JobTable jobs_;
+    Cluster cluster_;
+    std::unordered_map<std::string, std::unique_ptr<Line>> lines_;
+    std::set<std::string> gone_;  // machines whose deletion was confirmed
+    std::unordered_map<std::string, uint64_t> finished_;  // jobs erased from the table, with the revision
+    std::deque<std::string> finished_order_;
+    std::map<Kind, Seconds> refused_until_;
+    std::vector<Rental> on_order_;
+    Seconds flavors_read_ = -1e9;
+    bool flavors_kept_ = false;
+
+    bool loaded_ = false, stopped_ = false;
+    uint64_t tide_ = 0;          // the watch has seen all changes up to this revision
+    Seconds fresh_ = -1e9;       // no withdrawal before this is missing
+    Seconds loaded_at_ = 0;
+    uint64_t claims_ = 0;
+    Bucket writes_;
+    Signal ready_, dirty_;
+    Scope scope_;
+};
+
+}  // namespace hareshore
--- /dev/null
+++ b/src/loop/loop.cc
@@ -0,0 +1,179 @@
+#include "loop/loop.h"
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <system_error>
+
+#include "base/log.h"
+
+namespace hareshore {
+
+void Routine::cancel() {
+    cancelled = true;
+    if (pending) pending->wake(Wake::kCancelled);
+}
+
+void Waiter::wake(Wake why) {
+    outcome = why;
+    if (slot) *slot = nullptr;
+    slot = nullptr;
+    if (signal) signal->waiters_.erase(place);
+    signal = nullptr;
+    if (timed) loop.timers_.erase(timer);
+    timed = false;
+    if (routine) routine->pending = nullptr;
+    loop.post(handle);
+}
+
+void Signal::notify() {
+    while (!waiters_.empty()) waiters_.front()->wake(Wake::kEvent);
+}
+
+File::File(Loop& loop, int fd) : loop_(loop), fd_(fd) {
+    fcntl(fd, F_SETFL, fcntl(fd, F_GETFL) | O_NONBLOCK);
+    epoll_event ev{};
+    ev.events = EPOLLIN | EPOLLOUT | EPOLLRDHUP | EPOLLET;
+    ev.data.fd = fd;
+    epoll_ctl(loop.epoll_, EPOLL_CTL_ADD, fd, &ev);
+    loop.files_[fd] = this;
+}
+
+File::~File() {
+    if (reader_) reader_->wake(Wake::kEvent);
+    if (writer_) writer_->wake(Wake::kEvent);
+    loop_.files_.erase(fd_);
+    close(fd_);
+}
+
+namespace {
+
+// The outermost coroutine of a routine; it frees itself.
+struct Root {
+    struct promise_type {
+        Routine* routine = nullptr;
+        Root get_return_object() { return {std::coroutine_handle<promise_type>::from_promise(*this)}; }
+        std::suspend_always initial_suspend() noexcept { return {}; }
+        std::suspend_never final_suspend() noexcept { return {}; }
+        void return_void() {}
+        void unhandled_exception() { std::terminate(); }
+    };
+    std::coroutine_handle<promise_type> handle;
+};
+
+template <class State>
+Root run_root(Task<void> task, std::string name, std::shared_ptr<State> state, std::unique_ptr<Routine> routine) {
+    try {
+        if (!routine->cancelled) co_await task;
+    } catch (const Cancelled&) {
+    } catch (const std::exception& e) {
+        log::error("routine {} ended: {}", name, e.what());
+    }
+    state->routines.remove(routine.get());
+}
+
+}  // namespace
+
+void Scope::spawn(Task<void> task, std::string name) {
+    if (state_->cancelled) return;
+    auto routine = std::make_unique<Routine>();
+    Routine* raw = routine.get();
+    state_->routines.push_back(raw);
+    Root root = run_root(std::move(task), std::move(name), state_, std::move(routine));
+    root.handle.promise().routine = raw;
+    loop_.post(root.handle);
+}
+
+void Scope::cancel() {
+    state_->cancelled = true;
+    for (Routine* r : state_->routines) r->cancel();
+}
+
+Loop::Loop(Clock& clock) : clock_(clock), epoll_(epoll_create1(EPOLL_CLOEXEC)) {
+    if (epoll_ < 0) throw std::system_error(errno, std::generic_category(), "epoll_create1");
+}
+
+Loop::~Loop() {
+    close(epoll_);
+}
+
+bool Loop::Await::await_ready() {
+    if (!file) return false;
+    bool& edge = writing ? file->writable_ : file->readable_;
+    return std::exchange(edge, false);
+}
+
+void Loop::Await::enter() {
+    if (routine && routine->cancelled) {
+        outcome = Wake::kCancelled;
+        loop.post(handle);
+        return;
+    }
+    if (file) {
+        slot = writing ? &file->writer_ : &file->reader_;
+        *slot = this;
+    }
+    if (on) {
+        signal = on;
+        place = on->waiters_.insert(on->waiters_.end(), this);
+    }
+    if (until >= 0) {
+        timer = loop.timers_.emplace(until, this);
+        timed = true;
+    }
+    if (routine) routine->pending = this;
+}
+
+Wake Loop::Await::await_resume() {
+    if (outcome == Wake::kCancelled || (routine && routine->cancelled)) throw Cancelled{};
+    return outcome;
+}
+
+bool Loop::turn(Seconds most) {
+    Seconds timeout = most;
+    if (!ready_.empty()) {
+        timeout = 0;
+    } else if (!timers_.empty()) {
+        Seconds due = std::max(0.0, timers_.begin()->first - now());
+        timeout = most < 0 ? due : std::min(most, due);
+    }
+    epoll_event events[64];
+    int n = clock_.wait(epoll_, events, 64, timeout);
+    for (int i = 0; i < n; ++i) {
+        auto it = files_.find(events[i].data.fd);
+        if (it == files_.end()) continue;
+        File& f = *it->second;
+        uint32_t bits = events[i].events;
+        if (bits & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR)) {
+            if (f.reader_) {
+                f.reader_->wake(Wake::kEvent);
+            } else {
+                f.readable_ = true;
+            }
+        }
+        if (bits & (EPOLLOUT | EPOLLHUP | EPOLLERR)) {
+            if (f.writer_) {
+                f.writer_->wake(Wake::kEvent);
+            } else {
+                f.writable_ = true;
+            }
+        }
+    }
+    Seconds t = now();
+    while (!timers_.empty() && timers_.begin()->first <= t) timers_.begin()->second->wake(Wake::kTimeout);
+    size_t batch = ready_.size();
+    for (size_t i = 0; i < batch; ++i) {
+        auto h = ready_.front();
+        ready_.pop_front();
+        h.resume();
+    }
+    return n > 0 || batch > 0;
+}
+
+void Loop::run() {
+    while (!stopped_) turn(-1);
+}
+
+}  // namespace hareshore
--- /dev/null
+++ b/src/loop/loop.h
@@ -0,0 +1,159 @@
+// The event loop: epoll, timers, and the routines that wait for them.
+#pragma once
+#include <sys/epoll.h>
+
+#include <deque>
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "base/clock.h"
+#include "loop/task.h"
+
+namespace hareshore {
+
+class Loop;
+class Signal;
+
+enum class Wake { kEvent, kTimeout, kCancelled };
+
+// One wait of one routine: for a file, a signal or a time, whichever comes first.
+struct Waiter {
+    Loop& loop;
+    Routine* routine = nullptr;
+    std::coroutine_handle<> handle;
+    Wake outcome = Wake::kEvent;
+    Waiter** slot = nullptr;  // the file's place for its waiter
+    Signal* signal = nullptr;
+    std::list<Waiter*>::iterator place;
+    std::multimap<Seconds, Waiter*>::iterator timer;
+    bool timed = false;
+
+    explicit Waiter(Loop& l) : loop(l) {}
+    Waiter(const Waiter&) = delete;
+    Waiter& operator=(const Waiter&) = delete;
+    void wake(Wake why);
+};
+
+// Routines wait for it; notify() wakes all that wait.
+class Signal {
+  public:
+    explicit Signal(Loop& loop) : loop_(loop) {}
+    Signal(const Signal&) = delete;
+    Signal& operator=(const Signal&) = delete;
+    ~Signal() { notify(); }
+    void notify();
+
+  private:
+    friend class Loop;
+    friend struct Waiter;
+    Loop& loop_;
+    std::list<Waiter*> waiters_;
+};
+
+// A file descriptor of the loop, non-blocking and closed with the object.
+class File {
+  public:
+    File(Loop& loop, int fd);
+    File(const File&) = delete;
+    File& operator=(const File&) = delete;
+    ~File();
+    int fd() const { return fd_; }
+
+  private:
+    friend class Loop;
+    Loop& loop_;
+    int fd_;
+    Waiter* reader_ = nullptr;
+    Waiter* writer_ = nullptr;
+    bool readable_ = false;  // an edge came while nobody waited
+    bool writable_ = false;
+};
+
+// The routines that belong together; cancel() ends them all in order.
+class Scope {
+  public:
+    explicit Scope(Loop& loop) : loop_(loop), state_(std::make_shared<State>()) {}
+    Scope(const Scope&) = delete;
+    Scope& operator=(const Scope&) = delete;
+    ~Scope() { cancel(); }
+    // Starts a routine at the next turn of the loop. After cancel() nothing is started.
+    void spawn(Task<void> task, std::string name);
+    void cancel();
+    size_t size() const { return state_->routines.size(); }
+    bool cancelled() const { return state_->cancelled; }
+
+  private:
+    friend class Loop;
+    struct State {
+        std::list<Routine*> routines;
+        bool cancelled = false;
+    };
+    Loop& loop_;
+    std::shared_ptr<State> state_;
+};
+
+class Loop {
+  public:
+    explicit Loop(Clock& clock);
+    Loop(const Loop&) = delete;
+    Loop& operator=(const Loop&) = delete;
+    ~Loop();
+
+    Seconds now() const { return clock_.now(); }
+    Seconds wall() const { return clock_.wall(); }
+
+    void run();
+    bool turn(Seconds most);  // one turn; false if nothing happened
+    // For tests: turns until `done` says so or the time is over.
+    template <class F>
+    bool run_until(F done, Seconds most) {
+        Seconds end = now() + most;
+        while (!done()) {
+            if (now() > end) return false;
+            turn(0.05);
+        }
+        return true;
+    }
+    void stop() { stopped_ = true; }
+
+    struct Await : Waiter {
+        Seconds until;
+        File* file;
+        bool writing;
+        Signal* on;
+        Await(Loop& l, Seconds u, File* f = nullptr, bool w = false, Signal* s = nullptr)
+            : Waiter(l), until(u), file(f), writing(w), on(s) {}
+        bool await_ready();
+        template <class P>
+        void await_suspend(std::coroutine_handle<P> h) {
+            routine = h.promise().routine;
+            handle = h;
+            enter();
+        }
+        Wake await_resume();
+        void enter();
+    };
+
+    // Until a point in time; negative: no limit.
+    Await sleep(Seconds s) { return {*this, now() + s}; }
+    Await readable(File& f, Seconds until) { return {*this, until, &f, false}; }
+    Await writable(File& f, Seconds until) { return {*this, until, &f, true}; }
+    Await wait(Signal& s, Seconds until) { return {*this, until, nullptr, false, &s}; }
+
+  private:
+    friend struct Waiter;
+    friend class File;
+    friend class Scope;
+    void post(std::coroutine_handle<> h) { ready_.push_back(h); }
+
+    Clock& clock_;
+    int epoll_;
+    bool stopped_ = false;
+    std::deque<std::coroutine_handle<>> ready_;
+    std::multimap<Seconds, Waiter*> timers_;
+    std::map<int, File*> files_;
+};
+
+}  // namespace hareshore
--- /dev/null
+++ b/src/match/match.h
@@ -0,0 +1,48 @@
+// Cache-Matched Pull: which waiting task goes to which machine. No I/O; time is a parameter.
+#pragma once
+#include <vector>
+
+#include "config/config.h"
+#include "jobs/table.h"
+
+namespace hareshore {
+
+struct MatchInput {
+    const Config& config;
+    const Settings& settings;
+    Seconds now = 0;
+    // Machines whose reports ask for work now: the one that reports, and those whose reports are held.
+    std::vector<Host*> askers;
+};
+
+struct Binding {
+    Job* job = nullptr;
+    uint32_t task = 0;
+    Host* host = nullptr;
+};
+
+// Binds tasks in the table and takes their room from the machines; Cluster::recount() must be current.
+std::vector<Binding> match(Cluster& cluster, JobTable& jobs, const MatchInput& in);
+
+// The waiting jobs in the order in which they are served: work within a guarantee first, then by
+// priority, aged jobs before others, oldest first.
+struct Queued {
+    Job* job = nullptr;
+    bool entitled = false;
+    bool aged = false;
+};
+std::vector<Queued> queue_order(const Cluster& cluster, const JobTable& jobs, const MatchInput& in);
+
+// The zones in which tasks of the job may start now, and how many more in each.
+class ZoneRule {
+  public:
+    explicit ZoneRule(const Job& job);
+    uint32_t room(const std::string& zone) const;
+    void add(const std::string& zone) { ++in_zone_[zone]; }
+
+  private:
+    const Job& job_;
+    std::map<std::string, uint32_t> in_zone_;
+};
+
+}  // namespace hareshore
--- /dev/null
+++ b/src/node.cc
@@ -0,0 +1,189 @@
+#include "node.h"
+
+#include <algorithm>
+
+#include "base/constants.h"
+#include "base/log.h"
+
+namespace hareshore {
+
+namespace {
+
+Response status(int code) {
+    return {code, "", 0, "application/msgpack"};
+}
+
+// The nodes stand for election one after the other, in the order of their labels.
+double place_of(const Config& c) {
+    size_t before = 0;
+    for (const auto& s : c.siblings)
+        if (s.label < c.label) ++before;
+    return c.siblings.empty() ? 0 : static_cast<double>(before) / static_cast<double>(c.siblings.size());
+}
+
+size_t connection_limit(const Config& c) {
+    return static_cast<size_t>(static_cast<double>(c.sockets) * (1 - constants::kSocketReserve)) - 4;
+}
+
+const std::string kFlavorsKey = "flavors";
+
+}  // namespace
+
+Controller::Controller(Loop& loop, const Config& config, const Settings& settings)
+    : loop_(loop),
+      config_(config),
+      settings_(settings),
+      started_(loop.now()),
+      state_(loop, config.state),
+      cloud_(loop, config.cloud, config.cloud_rps, config.siblings.size() + 1),
+      election_(loop, state_, config.label, place_of(config)),
+      users_(loop, config, state_, flavors_),
+      siblings_(loop, config, [this] { return beat(); }, [this](std::string body) { return relayed(std::move(body)); }),
+      server_(loop, config.listen, connection_limit(config), [this](Request r) { return handle(std::move(r)); }),
+      scope_(loop) {
+    scope_.spawn(election_.run(), "election");
+    scope_.spawn(follow_election(), "leadership");
+    scope_.spawn(learn_flavors(), "machine types");
+}
+
+back::Beat Controller::beat() const {
+    back::Beat b{};
+    back::set_label(b, config_.label);
+    b.epoch = election_.leading() ? election_.epoch() : election_.known_epoch();
+    b.leads = election_.leading();
+    b.ready = ready();
+    auto ms = [&](Seconds since) { return static_cast<uint32_t>(std::clamp((loop_.now() - since) * 1000, 0.0, 4e9)); };
+    b.state_age_ms = state_.last_contact() < 0 ? UINT32_MAX : ms(state_.last_contact());
+    b.quiet_ms = ms(users_.last_withdrawal());
+    return b;
+}
+
+// Every sibling says how long it has told nobody of a withdrawal. Where that reaches back to `since`,
+// nothing was told between `since` and the time at which the sibling was asked.
+Seconds Controller::vouched(Seconds since) const {
+    Seconds until = loop_.now();
+    if (users_.last_withdrawal() > since) return since;
+    for (const auto& p : siblings_.peers()) {
+        Seconds quiet = p.beat.quiet_ms / 1000.0 * (1 - constants::kDrift);
+        if (p.answer_at - quiet > since) return since;
+        until = std::min(until, p.answered);
+    }
+    return std::max(since, until);
+}
+
+bool Controller::ready() const {
+    if (flavors_.empty()) return false;
+    Seconds age = loop_.now() - state_.last_contact();
+    if (state_.last_contact() >= 0 && age < constants::kAlone_s) return true;
+    // In an outage for all, users are better answered than turned away; refused alone, others serve them.
+    for (const auto& p : siblings_.peers())
+        if (loop_.now() - p.heard < constants::kBeatFresh_s && p.beat.ready &&
+            p.beat.state_age_ms < constants::kAlone_s * 1000 / 2)
+            return false;
+    return true;
+}
+
+Task<void> Controller::follow_election() {
+    while (true) {
+        co_await loop_.wait(election_.changed(), loop_.now() + constants::kBeat_s);
+        for (const auto& p : siblings_.peers())
+            if (p.beat.leads && loop_.now() - p.heard < constants::kBeatFresh_s)
+                election_.heard(p.who.label, p.beat.epoch);
+        if (leader_ && (!election_.leading() || leader_->epoch() != election_.epoch())) {
+            leader_->stop();
+            leader_.reset();
+        }
+        if (!leader_ && election_.leading()) {
+            Leader::Term term{election_.epoch(), election_.stamp(), kLeaderKey};
+            uint64_t epoch = election_.epoch();
+            leader_ = std::make_shared<Leader>(
+                loop_, config_, settings_, state_, cloud_, term, flavors_, [this](Seconds since) { return vouched(since); },
+                [this, epoch](const char* why) {
+                    if (election_.epoch() == epoch) election_.deposed(why);
+                });
+            leader_->start();
+        }
+    }
+}
+
+Task<void> Controller::learn_flavors() {
+    // The cloud's word is asked for once; after that the leader keeps prices up to date for itself.
+    while (flavors_.empty()) {
+        auto got = co_await cloud_.flavors();
+        if (got) {
+            flavors_ = std::move(*got);
+            break;
+        }
+        GetResult kept = co_await state_.get(kFlavorsKey, constants::kStateCall_s);
+        if (kept.reply == Reply::kOk) {
+            if (auto f = Cloud::unpack_flavors(kept.entry.data)) flavors_ = std::move(*f);
+        }
+        if (flavors_.empty()) co_await loop_.sleep(constants::kRetryPauseMax_s / 2);
+    }
+}
+
+Task<Response> Controller::hello(std::string body) {
+    auto report = Report::parse(body);
+    if (!report) co_return status(400);
+    std::string host = report->host;
+    if (auto leader = leader_) {
+        Response r = co_await leader->hello(std::move(*report));
+        if (r.status == 200) co_return r;
+        if (leader_ == leader && election_.leading()) co_return r;
+    }
+    const std::string& to = election_.leader();
+    if (to.empty() || to == config_.label) co_return Response{421, pack_redirect(""), 0, "application/msgpack"};
+    if (pointed_.size() > constants::kPointed) pointed_.clear();
+    Pointed& p = pointed_[host];
+    Seconds now = loop_.now();
+    bool back = p.leader == to && now - p.at < constants::kRelayAfter_s;
+    if (back && (p.relayed_since < 0 || now - p.relayed_since < constants::kRelayFor_s)) {
+        // It was pointed to the leader and is here again: there is a cut between the two.
+        if (p.relayed_since < 0) p.relayed_since = now;
+        p.at = now;
+        auto r = co_await siblings_.relay(to, std::move(body));
+        if (r && r->status == 200) co_return *r;
+        co_return Response{421, pack_redirect(""), 0, "application/msgpack"};
+    }
+    p = {to, now, -1};
+    co_return Response{421, pack_redirect(to), 0, "application/msgpack"};
+}
+
+Task<Response> Controller::relayed(std::string body) {
+    auto report = Report::parse(body);
+    auto leader = leader_;
+    if (!report || !leader) co_return status(421);
+    co_return co_await leader->hello(std::move(*report));
+}
+
+Response Controller::operator_page(const std::string& path) {
+    Response r;
+    r.type = "text/plain; charset=utf-8";
+    if (path == "/operator/jobs" && leader_) {
+        r.body = leader_->jobs_page();
+    } else if (path == "/operator/machines" && leader_) {
+        r.body = leader_->machines_page();
+    } else {
+        r.body = fmt::format("{} leader {} epoch {}\n", config_.label,
+                             election_.leader().empty() ? "unknown" : election_.leader(), election_.known_epoch());
+    }
+    return r;
+}
+
+Task<Response> Controller::handle(Request q) {
+    if (q.path == "/hello") {
+        if (q.method != "POST") co_return status(405);
+        co_return co_await hello(std::move(q.body));
+    }
+    if (q.path == "/ready") {
+        if (q.method != "GET") co_return status(405);
+        co_return status(ready() ? 200 : 503);
+    }
+    if (q.path == "/operator" || q.path == "/operator/jobs" || q.path == "/operator/machines") {
+        if (q.method != "GET") co_return status(405);
+        co_return operator_page(q.path);
+    }
+    co_return co_await users_.handle(q);
+}
+
+}  // namespace hareshore
--- /dev/null
+++ b/src/node.h
@@ -0,0 +1,51 @@
+// One controller: it serves users, takes part in elections, and leads or points workers to the leader.
+#pragma once
+#include "back/siblings.h"
+#include "config/config.h"
+#include "http/server.h"
+#include "lead/election.h"
+#include "lead/leader.h"
+#include "users/service.h"
+
+namespace hareshore {
+
+class Controller {
+  public:
+    Controller(Loop& loop, const Config& config, const Settings& settings);
+    Task<Response> handle(Request request);
+    const Election& election() const { return election_; }
+    std::shared_ptr<Leader> leader() const { return leader_; }
+
+  private:
+    Task<void> follow_election();
+    Task<void> learn_flavors();
+    Task<Response> hello(std::string body);
+    Task<Response> relayed(std::string body);
+    Response operator_page(const std::string& path);
+    bool ready() const;
+    back::Beat beat() const;
+    Seconds vouched(Seconds since) const;
+
+    Loop& loop_;
+    const Config& config_;
+    const Settings& settings_;
+    Seconds started_;
+    StateService state_;
+    Cloud cloud_;
+    Election election_;
+    std::vector<Flavor> flavors_;
+    UserService users_;
+    std::shared_ptr<Leader> leader_;
+    // When a worker was pointed to which leader: one that comes back could not reach it.
+    struct Pointed {
+        std::string leader;
+        Seconds at = 0;
+        Seconds relayed_since = -1;
+    };
+    std::unordered_map<std::string, Pointed> pointed_;
+    Siblings siblings_;
+    HttpServer server_;
+    Scope scope_;
+};
+
+}  // namespace hareshore
--- /dev/null
+++ b/src/state/state.h
@@ -0,0 +1,100 @@
+// The state service's protocol.
+#pragma once
+#include <vector>
+
+#include "http/client.h"
+
+namespace hareshore {
+
+enum class Reply {
+    kOk,
+    kAbsent,    // the key or the lease does not exist
+    kConflict,  // a condition failed; nothing was written
+    kRefused,   // certainly not executed
+    kUnknown,   // may have been executed, or may yet be
+};
+
+struct Entry {
+    std::string key;
+    uint64_t stamp = 0;
+    uint64_t lease = 0;
+    std::string data;  // packed
+};
+
+struct GetResult {
+    Reply reply = Reply::kRefused;
+    Entry entry;
+    uint64_t tide = 0;  // only when absent
+};
+
+struct ListResult {
+    Reply reply = Reply::kRefused;
+    std::vector<Entry> entries;
+    bool more = false;
+    uint64_t tide = 0;
+};
+
+struct Change {
+    std::string key;
+    bool dropped = false;
+    uint64_t stamp = 0;
+    std::string data;  // packed
+};
+
+struct ChangesResult {
+    Reply reply = Reply::kRefused;  // kAbsent: the revision is too old, read again
+    std::vector<Change> changes;
+    uint64_t tide = 0;
+};
+
+struct Txn {
+    struct Write {
+        std::string key;
+        bool drop = false;
+        std::string data;  // packed
+        uint64_t lease = 0;
+    };
+    std::vector<std::pair<std::string, uint64_t>> when;  // key, stamp; 0: must not exist
+    std::vector<Write> writes;
+
+    Txn& expect(std::string key, uint64_t stamp);
+    Txn& put(std::string key, std::string data, uint64_t lease = 0);
+    Txn& drop(std::string key);
+    std::string pack() const;
+};
+
+struct TxnResult {
+    Reply reply = Reply::kRefused;
+    uint64_t tide = 0;
+    std::vector<std::string> failed;  // keys whose condition failed
+};
+
+struct LeaseResult {
+    Reply reply = Reply::kRefused;
+    uint64_t lease = 0;
+};
+
+class StateService {
+  public:
+    StateService(Loop& loop, Address at) : loop_(loop), http_(loop, at, constants_pool()), watches_(loop, at, 4) {}
+    Task<GetResult> get(std::string key, Seconds timeout);
+    Task<ListResult> list(std::string prefix, std::string from, size_t page, Seconds timeout);
+    Task<TxnResult> commit(Txn txn, Seconds timeout);
+    Task<LeaseResult> grant(Seconds ttl, Seconds timeout);
+    Task<Reply> renew(uint64_t lease, Seconds timeout);
+    Task<Reply> revoke(uint64_t lease, Seconds timeout);
+    Task<ChangesResult> changes(std::string prefix, uint64_t from, Seconds wait);
+    // When the service last carried out a request of ours; -1: never.
+    Seconds last_contact() const { return last_contact_; }
+
+  private:
+    static size_t constants_pool();
+    Task<Answer> call(std::string method, std::string path, std::string body, Seconds timeout);
+
+    Loop& loop_;
+    HttpClient http_;
+    HttpClient watches_;
+    Seconds last_contact_ = -1;
+};
+
+}  // namespace hareshore
--- /dev/null
+++ b/src/users/service.cc
@@ -0,0 +1,166 @@
+#include "users/service.h"
+
+#include "base/constants.h"
+#include "base/log.h"
+
+namespace hareshore {
+
+namespace {
+
+Response unavailable(int status = 503, int after = constants::kRetryAfter_s) {
+    return {status, pack_error("try again"), after, "application/msgpack"};
+}
+
+Response plain(int status, const std::string& why) {
+    return {status, pack_error(why), 0, "application/msgpack"};
+}
+
+}  // namespace
+
+UserService::UserService(Loop& loop, const Config& config, StateService& state, const std::vector<Flavor>& flavors)
+    : loop_(loop), config_(config), state_(state), flavors_(flavors), last_withdrawal_(loop.now()) {}
+
+Task<Response> UserService::handle(const Request& request) {
+    static const std::string base = "/v2/runs";
+    if (request.path == base) {
+        if (request.method != "POST") co_return plain(405, "use POST");
+    } else if (request.path.compare(0, base.size() + 1, base + "/") != 0) {
+        co_return plain(404, "unknown path");
+    }
+    // More than can be worked on: the user is told at once when to come back.
+    if (busy_ >= constants::kUserCalls) co_return unavailable(429);
+    struct Busy {
+        size_t& n;
+        explicit Busy(size_t& x) : n(x) { ++n; }
+        ~Busy() { --n; }
+    } busy(busy_);
+    if (request.path == base) co_return co_await submit(request);
+    std::string rest = request.path.substr(base.size() + 1);
+    auto slash = rest.find('/');
+    std::string id = rest.substr(0, slash);
+    std::string verb = slash == std::string::npos ? "" : rest.substr(slash + 1);
+    if (!verb.empty() && verb != "withdraw") co_return plain(404, "unknown path");
+    if (slash != std::string::npos && verb.empty()) co_return plain(404, "unknown path");
+    if (request.method != (verb.empty() ? "GET" : "POST")) co_return plain(405, verb.empty() ? "use GET" : "use POST");
+    if (!valid_job_id(id)) co_return plain(404, "unknown job");
+    if (verb.empty()) co_return co_await query(id);
+    co_return co_await withdraw(id);
+}
+
+void UserService::keep_final(const std::string& id, const FinalRecord& f) {
+    if (!finals_.emplace(id, f).second) return;
+    finals_order_.push_back(id);
+    if (finals_order_.size() > constants::kFinalCache) {
+        finals_.erase(finals_order_.front());
+        finals_order_.pop_front();
+    }
+}
+
+// The current state of a job. Records move only from the live key to the final one, so this order of
+// reading cannot miss one.
+Task<UserService::Known> UserService::read(std::string id, Seconds until) {
+    Known k;
+    auto cached = finals_.find(id);
+    std::optional<FinalRecord> final;
+    if (cached != finals_.end()) {
+        final = cached->second;
+    } else {
+        GetResult live = co_await state_.get(live_key(id), until - loop_.now());
+        if (live.reply == Reply::kOk) {
+            auto record = JobRecord::unpack(live.entry.data);
+            if (!record) {
+                log::error("record {} is not readable", live.entry.key);
+                co_return k;
+            }
+            k.reply = Reply::kOk;
+            k.phase = record->phase();
+            k.done = record->done.size();
+            k.running = static_cast<uint32_t>(record->live.size());
+            k.record = std::move(*record);
+            k.stamp = live.entry.stamp;
+            co_return k;
+        }
+        if (live.reply != Reply::kAbsent || loop_.now() >= until) co_return k;
+        GetResult end = co_await state_.get(final_key(id), until - loop_.now());
+        if (end.reply != Reply::kOk) {
+            k.reply = end.reply == Reply::kAbsent ? Reply::kAbsent : Reply::kRefused;
+            co_return k;
+        }
+        final = FinalRecord::unpack(end.entry.data);
+        if (!final) co_return k;
+        keep_final(id, *final);
+    }
+    k.reply = Reply::kOk;
+    k.final = true;
+    k.phase = final->withdrawn ? JobPhase::kWithdrawn : JobPhase::kDone;
+    k.done = final->done;
+    co_return k;
+}
+
+Response UserService::told(const std::string& id, const Known& k, bool counts) {
+    if (k.phase == JobPhase::kWithdrawn) last_withdrawal_ = loop_.now();
+    return {200, counts ? pack_job(id, k.phase, k.done, k.running) : pack_phase(id, k.phase), 0, "application/msgpack"};
+}
+
+Task<Response> UserService::submit(const Request& request) {
+    auto parsed = parse_submission(request.body);
+    if (auto* why = std::get_if<std::string>(&parsed)) co_return plain(400, *why);
+    JobSpec spec = std::get<JobSpec>(std::move(parsed));
+    if (flavors_.empty()) co_return unavailable();  // what can run is not known yet
+    Seconds until = loop_.now() + constants::kUserWrite_s;
+    std::string never = never_runnable(spec, config_, flavors_);
+    if (!never.empty()) {
+        // A job that was accepted once is known for ever, whatever the machine types are by now.
+        Known k = co_await read(spec.id, until);
+        if (k.reply == Reply::kOk) co_return told(spec.id, k, false);
+        if (k.reply != Reply::kAbsent) co_return unavailable();
+        co_return plain(422, never);
+    }
+    JobRecord record;
+    record.spec = spec;
+    record.accepted_wall = loop_.wall();
+    Txn txn;
+    txn.expect(live_key(spec.id), 0).expect(final_key(spec.id), 0).put(live_key(spec.id), record.pack());
+    TxnResult r = co_await state_.commit(std::move(txn), std::min(constants::kUserWrite_s, constants::kStateCall_s));
+    if (r.reply == Reply::kOk) {
+        log::debug("job {} accepted", spec.id);
+        co_return Response{201, pack_phase(spec.id, JobPhase::kPending), 0, "application/msgpack"};
+    }
+    if (r.reply == Reply::kConflict) {
+        Known k = co_await read(spec.id, until);
+        if (k.reply == Reply::kOk) co_return told(spec.id, k, false);
+    }
+    if (r.reply == Reply::kRefused) co_return unavailable(503, constants::kRetryAfterOutage_s);
+    co_return unavailable();
+}
+
+Task<Response> UserService::query(std::string id) {
+    Known k = co_await read(id, loop_.now() + constants::kUserRead_s);
+    if (k.reply == Reply::kOk) co_return told(id, k, true);
+    if (k.reply == Reply::kAbsent) co_return plain(404, "unknown job");
+    co_return unavailable();
+}
+
+Task<Response> UserService::withdraw(std::string id) {
+    Seconds until = loop_.now() + constants::kUserWrite_s;
+    while (loop_.now() < until) {
+        Known k = co_await read(id, until);
+        if (k.reply == Reply::kAbsent) co_return plain(404, "unknown job");
+        if (k.reply != Reply::kOk) co_return unavailable();
+        if (k.final || k.record.withdrawn) co_return told(id, k, false);
+        k.record.withdrawn = true;
+        Txn txn;
+        txn.expect(live_key(id), k.stamp).put(live_key(id), k.record.pack());
+        TxnResult r = co_await state_.commit(std::move(txn), constants::kStateCall_s);
+        if (r.reply == Reply::kOk) {
+            k.phase = JobPhase::kWithdrawn;
+            log::info("job {} withdrawn by its user", id);
+            co_return told(id, k, false);
+        }
+        if (r.reply != Reply::kConflict) co_return unavailable();
+        // The leader wrote in between: read again.
+    }
+    co_return unavailable();
+}
+
+}  // namespace hareshore
--- /dev/null
+++ b/src/workers/workers.cc
@@ -0,0 +1,109 @@
+#include "workers/workers.h"
+
+#include "base/constants.h"
+
+namespace hareshore {
+
+namespace {
+
+std::optional<TaskPhase> parse_phase(const std::string& s) {
+    if (s == "pulling") return TaskPhase::kFetching;
+    if (s == "gathering") return TaskPhase::kWaiting;
+    if (s == "running") return TaskPhase::kRunning;
+    if (s == "saving") return TaskPhase::kSaving;
+    if (s == "exited") return TaskPhase::kExited;
+    return std::nullopt;
+}
+
+ExitCause parse_cause(const std::string& s) {
+    if (s == "done") return ExitCause::kDone;
+    if (s == "stopped") return ExitCause::kStopped;
+    if (s == "mates_gone") return ExitCause::kPeersGone;
+    if (s == "incomplete") return ExitCause::kIncomplete;
+    if (s == "no_room") return ExitCause::kNoRoom;
+    if (s == "busy") return ExitCause::kBusy;
+    if (s == "unknown") return ExitCause::kUnknownJob;
+    return ExitCause::kError;
+}
+
+void pack_orders(Packer& p, const std::vector<Order>& orders) {
+    p.key("orders").list(orders.size());
+    for (const auto& o : orders) {
+        p.map(o.verb == Verb::kHalt ? 4 : 3).key("verb");
+        p.text(o.verb == Verb::kLaunch ? "launch" : o.verb == Verb::kHalt ? "halt" : "forget");
+        p.key("piece").text(o.name.text()).key("try").count(o.attempt);
+        if (o.verb == Verb::kHalt) p.key("linger_s").number(o.grace_s);
+    }
+}
+
+}  // namespace
+
+std::optional<Report> Report::parse(std::string_view body) {
+    auto m = Message::parse(body);
+    if (!m || !m->root().is_map()) return std::nullopt;
+    Node n = m->root();
+    Report r;
+    auto host = n["host"].text();
+    auto session = n["tenure"].count();
+    auto seq = n["tick"].count();
+    auto epoch = n["epoch"].count();
+    if (!host || host->empty() || host->size() > 128 || host->find(' ') != std::string::npos) return std::nullopt;
+    if (!session || !seq || !epoch) return std::nullopt;
+    r.host = *host;
+    r.session = *session;
+    r.seq = *seq;
+    r.epoch = *epoch;
+    r.addr = n["addr"].text_or("");
+    r.flavor = n["flavor"].text_or("");
+    r.zone = n["cove"].text_or("");
+    r.spot = n["driftwood"].flag_or(false);
+    r.notice_s = n["warning_s"].number();
+    Node tasks = n["pieces"];
+    if (!tasks.null() && !tasks.is_list()) return std::nullopt;
+    if (tasks.size() > constants::kReportPieces) return std::nullopt;
+    for (size_t i = 0; i < tasks.size(); ++i) {
+        Node t = tasks.at(i);
+        auto name = TaskName::parse(t["piece"].text_or(""));
+        auto attempt = t["try"].count();
+        auto phase = parse_phase(t["phase"].text_or(""));
+        if (!name || !attempt || !phase) return std::nullopt;
+        ReportedTask x;
+        x.name = *name;
+        x.attempt = *attempt;
+        x.phase = *phase;
+        if (x.phase == TaskPhase::kExited) x.cause = parse_cause(t["cause"].text_or(""));
+        x.saved = t["kept"].flag_or(false);
+        r.tasks.push_back(std::move(x));
+    }
+    return r;
+}
+
+std::string pack_report_answer(uint64_t epoch, const std::vector<Order>& orders) {
+    Packer p;
+    p.map(2).key("epoch").count(epoch);
+    pack_orders(p, orders);
+    return p.take();
+}
+
+std::string pack_redirect(const std::string& node) {
+    Packer p;
+    if (node.empty()) {
+        p.map(0);
+    } else {
+        p.map(1).key("harbor").text(node);
+    }
+    return p.take();
+}
+
+Task<std::optional<Report>> send_orders(Loop& loop, Address to, uint64_t epoch, uint64_t session,
+                                        std::vector<Order> orders) {
+    Packer p;
+    p.map(3).key("epoch").count(epoch).key("tenure").count(session);
+    pack_orders(p, orders);
+    HttpClient http(loop, to, 1);
+    Answer a = co_await http.call("POST", "/orders", p.take(), constants::kOrdersCall_s);
+    if (a.status != 200 && a.status != 409) co_return std::nullopt;
+    co_return Report::parse(a.body);
+}
+
+}  // namespace hareshore
--- /dev/null
+++ b/src/workers/workers.h
@@ -0,0 +1,63 @@
+// The workers' protocol: reports, the answers to them, and direct commands.
+#pragma once
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "http/client.h"
+#include "jobs/record.h"
+
+namespace hareshore {
+
+enum class TaskPhase : uint8_t { kFetching, kWaiting, kRunning, kSaving, kExited };
+enum class ExitCause : uint8_t {
+    kNone,
+    kDone,
+    kStopped,
+    kPeersGone,
+    kIncomplete,
+    kError,
+    kNoRoom,
+    kBusy,
+    kUnknownJob,
+};
+
+struct ReportedTask {
+    TaskName name;
+    uint64_t attempt = 0;
+    TaskPhase phase = TaskPhase::kFetching;
+    ExitCause cause = ExitCause::kNone;
+    bool saved = false;
+};
+
+struct Report {
+    std::string host, addr, flavor, zone;
+    bool spot = false;
+    uint64_t session = 0, seq = 0, epoch = 0;
+    std::optional<Seconds> notice_s;
+    std::vector<ReportedTask> tasks;
+
+    // Nothing if the report is malformed.
+    static std::optional<Report> parse(std::string_view body);
+    bool newer_than(uint64_t session_, uint64_t seq_) const {
+        return session > session_ || (session == session_ && seq > seq_);
+    }
+};
+
+enum class Verb : uint8_t { kLaunch, kHalt, kForget };
+
+struct Order {
+    Verb verb = Verb::kLaunch;
+    TaskName name;
+    uint64_t attempt = 0;
+    Seconds grace_s = 0;  // with kHalt
+};
+
+std::string pack_report_answer(uint64_t epoch, const std::vector<Order>& orders);
+std::string pack_redirect(const std::string& node);  // empty: no hint
+
+// Sends commands to a worker; the answer is its report after them, if they were executed.
+Task<std::optional<Report>> send_orders(Loop& loop, Address to, uint64_t epoch, uint64_t session,
+                                        std::vector<Order> orders);
+
+}  // namespace hareshore
