--- a/src/back/frames.h
+++ b/src/back/frames.h
@@ -23,11 +23,11 @@
 
 // Once a second each way; also the answer to one.
 struct Beat {
-    char label[32];       // the sender's, zero-padded
-    uint64_t asked_us;    // in an answer: the asker's clock from the beat that it answers
-    uint64_t epoch;       // highest epoch the sender knows
-    uint8_t leads;        // it leads in that epoch
-    uint8_t ready;        // it takes users' requests
+    char label[32];         // the sender's, zero-padded
+    uint64_t asked_us;      // in an answer: the asker's clock from the beat that it answers
+    uint64_t epoch;         // highest epoch the sender knows
+    uint8_t leads;          // it leads in that epoch
+    uint8_t ready;          // it takes users' requests
     uint32_t state_age_ms;  // since the state service last answered it
     uint32_t quiet_ms;      // for how long it has told no user of a withdrawal; at most its uptime
 };
--- a/src/back/siblings.cc
+++ b/src/back/siblings.cc
@@ -140,7 +140,8 @@
                 if (it == calls_.end()) continue;  // too late
                 back::RelayAnswerHead h;
                 std::memcpy(&h, f->payload.data(), sizeof h);
-                it->second->answer = Response{h.status, f->payload.substr(sizeof h), 0, "application/msgpack"};
+                it->second->answer =
+                    Response{h.status, f->payload.substr(sizeof h), 0, "application/msgpack"};
                 it->second->done.notify();
             }
         }
--- a/src/back/siblings.h
+++ b/src/back/siblings.h
@@ -18,8 +18,8 @@
 
     struct Peer {
         Sibling who;
-        Seconds heard = -1e9;     // when it last said anything
-        Seconds answered = -1e9;  // when the beat that it answered last was sent
+        Seconds heard = -1e9;      // when it last said anything
+        Seconds answered = -1e9;   // when the beat that it answered last was sent
         Seconds answer_at = -1e9;  // and when that answer came
         back::Beat beat{};
     };
@@ -27,6 +27,7 @@
     // Passes a worker's report to a sibling; nothing if it did not answer in time.
     Task<std::optional<Response>> relay(std::string label, std::string body);
     Signal& news() { return news_; }  // a beat came
+    void stop() { scope_.cancel(); }
 
   private:
     struct Link;
--- a/src/base/constants.h
+++ b/src/base/constants.h
@@ -7,17 +7,17 @@
 namespace hareshore::constants {
 
 // --- limits of the protocol -------------------------------------------------------------------------
-inline constexpr size_t kBodyLimit = 64 * 1024;          // bytes; the protocol's limit for request bodies
-inline constexpr uint32_t kMaxTasks = 100'000;           // tasks per job; the protocol's limit
-inline constexpr int kRentAtMost = 50;                   // machines per rental request; the protocol's limit
-inline constexpr size_t kDeleteAtMost = 100;             // names per deletion request; the protocol's limit
-inline constexpr int kListPage = 500;                    // machines per page; the protocol's limit
-inline constexpr size_t kStatePage = 200;                // items per page when records are read at a take-over
-inline constexpr uint64_t kMaxCount = 1ull << 53;        // largest count that every peer can represent exactly
+inline constexpr size_t kBodyLimit = 64 * 1024;    // bytes; the protocol's limit for request bodies
+inline constexpr uint32_t kMaxTasks = 100'000;     // tasks per job; the protocol's limit
+inline constexpr int kRentAtMost = 50;             // machines per rental request; the protocol's limit
+inline constexpr size_t kDeleteAtMost = 100;       // names per deletion request; the protocol's limit
+inline constexpr int kListPage = 500;              // machines per page; the protocol's limit
+inline constexpr size_t kStatePage = 200;          // items per page when records are read at a take-over
+inline constexpr uint64_t kMaxCount = 1ull << 53;  // largest count that every peer can represent exactly
 
 // --- network ----------------------------------------------------------------------------------------
-inline constexpr size_t kHeadLimit = 8 * 1024;           // bytes of request line and headers; ours are < 300
-inline constexpr size_t kDrainLimit = 1024 * 1024;       // bytes of an oversized body read past before closing
+inline constexpr size_t kHeadLimit = 8 * 1024;      // bytes of request line and headers; ours are < 300
+inline constexpr size_t kDrainLimit = 1024 * 1024;  // bytes of an oversized body read past before closing
 inline constexpr size_t kAnswerLimit = 8 * 1024 * 1024;  // bytes of one answer of state service or cloud
 inline constexpr size_t kReadChunk = 8 * 1024;           // bytes per read; most messages fit into one
 inline constexpr int kNesting = 16;                      // levels of MessagePack nesting; ours need 4
@@ -25,74 +25,74 @@
 inline constexpr double kIdleConnection_s = 75.0;        // a connection without a request this long is closed
 inline constexpr double kSlowRequest_s = 10.0;           // a request must arrive whole within this
 inline constexpr double kWriteStall_s = 10.0;            // a peer that reads nothing this long is dropped
-inline constexpr double kConnect_s = 1.5;                // connection attempt: far above any healthy round trip
-inline constexpr double kSocketReserve = 0.15;           // share of sockets kept for our own calls to others
-inline constexpr size_t kPoolPerPeer = 8;                // open connections to state service or cloud, each
-inline constexpr size_t kPoolWaiters = 256;              // calls queued for a connection before they fail
-inline constexpr double kAcceptPause_s = 0.1;            // pause after accept fails for want of sockets
+inline constexpr double kConnect_s = 1.5;       // connection attempt: far above any healthy round trip
+inline constexpr double kSocketReserve = 0.15;  // share of sockets kept for our own calls to others
+inline constexpr size_t kPoolPerPeer = 8;       // open connections to state service or cloud, each
+inline constexpr size_t kPoolWaiters = 256;     // calls queued for a connection before they fail
+inline constexpr double kAcceptPause_s = 0.1;   // pause after accept fails for want of sockets
 
 // --- users ------------------------------------------------------------------------------------------
-inline constexpr size_t kUserCalls = 96;                 // user requests worked on at once; more get 429
-inline constexpr double kUserRead_s = 1.5;               // a poll's read: users wait 2 s for a poll
-inline constexpr double kUserWrite_s = 3.5;              // a submission's write: users wait 5 s
-inline constexpr int kRetryAfter_s = 1;                  // Retry-After for trouble that is likely short
-inline constexpr int kRetryAfterOutage_s = 2;            // Retry-After while the state service is away
-inline constexpr size_t kFinalCache = 4096;              // final job states kept in memory (about 100 B each)
+inline constexpr size_t kUserCalls = 96;       // user requests worked on at once; more get 429
+inline constexpr double kUserRead_s = 1.5;     // a poll's read: users wait 2 s for a poll
+inline constexpr double kUserWrite_s = 3.5;    // a submission's write: users wait 5 s
+inline constexpr int kRetryAfter_s = 1;        // Retry-After for trouble that is likely short
+inline constexpr int kRetryAfterOutage_s = 2;  // Retry-After while the state service is away
+inline constexpr size_t kFinalCache = 4096;    // final job states kept in memory (about 100 B each)
 
 // --- state service ----------------------------------------------------------------------------------
-inline constexpr double kStateCall_s = 1.5;              // answers take < 10 ms, at times a few hundred
-inline constexpr double kLeadTtl_s = 5.0;                // leadership lease: three missed renewals
-inline constexpr double kLeadRenew_s = 1.2;              // renewal interval of the leadership lease
-inline constexpr double kLeadMargin_s = 0.5;             // taken off the lease for drift and latency
-inline constexpr double kDrift = 0.001;                  // clock drift allowed for: twice the protocol's 0.05%
-inline constexpr double kWatchWait_s = 3.0;              // one watch; bounds how old "no news" can be
-inline constexpr double kLeadWatch_s = 2.0;              // one watch of the leadership key; also shows that we are served
-inline constexpr double kAlone_s = 5.0;                  // unserved this long while a sibling is served: not ready
-inline constexpr double kRetryPause_s = 0.25;            // pause after a failed call, doubled up to
-inline constexpr double kRetryPauseMax_s = 2.0;          //   this: a service that comes back is not stampeded
-inline constexpr double kElectionSpread_s = 0.25;        // candidates wait up to this so that few collide
-inline constexpr double kLeaderShare = 0.75;             // share of write_rps that the leader uses itself
-inline constexpr size_t kRecordSpare = 700;              // bytes of value_kb left free in a job record
-inline constexpr size_t kPlacementBytes = 48;            // bytes one placement may need in a record
-inline constexpr size_t kTxnBytes = 48 * 1024;           // bytes of records in one transaction (limit 64 KiB)
+inline constexpr double kStateCall_s = 1.5;   // answers take < 10 ms, at times a few hundred
+inline constexpr double kLeadTtl_s = 5.0;     // leadership lease: three missed renewals
+inline constexpr double kLeadRenew_s = 1.2;   // renewal interval of the leadership lease
+inline constexpr double kLeadMargin_s = 0.5;  // taken off the lease for drift and latency
+inline constexpr double kDrift = 0.001;       // clock drift allowed for: twice the protocol's 0.05%
+inline constexpr double kWatchWait_s = 3.0;   // one watch; bounds how old "no news" can be
+inline constexpr double kLeadWatch_s = 2.0;  // one watch of the leadership key; also shows that we are served
+inline constexpr double kAlone_s = 5.0;      // unserved this long while a sibling is served: not ready
+inline constexpr double kRetryPause_s = 0.25;      // pause after a failed call, doubled up to
+inline constexpr double kRetryPauseMax_s = 2.0;    //   this: a service that comes back is not stampeded
+inline constexpr double kElectionSpread_s = 0.25;  // candidates wait up to this so that few collide
+inline constexpr double kLeaderShare = 0.75;       // share of write_rps that the leader uses itself
+inline constexpr size_t kRecordSpare = 700;        // bytes of value_kb left free in a job record
+inline constexpr size_t kPlacementBytes = 48;      // bytes one placement may need in a record
+inline constexpr size_t kTxnBytes = 48 * 1024;     // bytes of records in one transaction (limit 64 KiB)
 
 // --- siblings ---------------------------------------------------------------------------------------
-inline constexpr double kBeat_s = 1.0;                   // interval of the heartbeat between controllers
-inline constexpr double kBeatFresh_s = 3.5;              // a sibling heard of within this counts as present
-inline constexpr size_t kBackRoutines = 96;              // routines on the back channel; 48 workers may be relayed
-inline constexpr size_t kFrameLimit = 128 * 1024;        // bytes of a frame between controllers
-inline constexpr size_t kPointed = 10'000;                // workers whose redirection is remembered
-inline constexpr double kRelay_s = 3.0;                  // a relayed report must be answered by then (worker: 4 s)
-inline constexpr double kRelayAfter_s = 25.0;            // a worker back this soon after a redirection is relayed
-inline constexpr double kRelayFor_s = 45.0;              // then redirected again, to learn whether the cut is over
+inline constexpr double kBeat_s = 1.0;             // interval of the heartbeat between controllers
+inline constexpr double kBeatFresh_s = 3.5;        // a sibling heard of within this counts as present
+inline constexpr size_t kBackRoutines = 96;        // routines on the back channel; 48 workers may be relayed
+inline constexpr size_t kFrameLimit = 128 * 1024;  // bytes of a frame between controllers
+inline constexpr size_t kPointed = 10'000;         // workers whose redirection is remembered
+inline constexpr double kRelay_s = 3.0;            // a relayed report must be answered by then (worker: 4 s)
+inline constexpr double kRelayAfter_s = 25.0;      // a worker back this soon after a redirection is relayed
+inline constexpr double kRelayFor_s = 45.0;        // then redirected again, to learn whether the cut is over
 
 // --- workers ----------------------------------------------------------------------------------------
-inline constexpr double kHoldReport_s = 2.5;             // an idle worker's report is held; worker gives up at 4 s
-inline constexpr double kCommitWait_s = 1.2;             // an answer waits for its placements' commit
-inline constexpr double kReportDrop_s = 4.0;             // a worker drops answers after this (protocol)
-inline constexpr double kRenewMargin_s = 2.0;            // taken off the renewal right for latency and drift
-inline constexpr size_t kReportPieces = 512;             // tasks in a report that are looked at
-inline constexpr double kOrdersCall_s = 2.0;             // a direct command to a worker
-inline constexpr double kFreshReports = 2.0;             // a report older than this many report_s shows no room
+inline constexpr double kHoldReport_s = 2.5;   // an idle worker's report is held; worker gives up at 4 s
+inline constexpr double kCommitWait_s = 1.2;   // an answer waits for its placements' commit
+inline constexpr double kReportDrop_s = 4.0;   // a worker drops answers after this (protocol)
+inline constexpr double kRenewMargin_s = 2.0;  // taken off the renewal right for latency and drift
+inline constexpr size_t kReportPieces = 512;   // tasks in a report that are looked at
+inline constexpr double kOrdersCall_s = 2.0;   // a direct command to a worker
+inline constexpr double kFreshReports = 2.0;   // a report older than this many report_s shows no room
 
 // --- fleet ------------------------------------------------------------------------------------------
-inline constexpr double kCloudShare = 0.7;               // share of the cloud's rate that one controller uses
-inline constexpr double kLeaderSettle_s = 6.0;           // a new leader hears its workers before it rents
-inline constexpr double kFleetTick_s = 1.0;              // interval of the rental decision
-inline constexpr double kListEvery_s = 4.0;              // interval of reading the machine list
-inline constexpr double kFlavorsEvery_s = 30.0;          // interval of reading the prices
-inline constexpr double kCloudCall_s = 6.0;              // a cloud call; answers take some 250 ms
-inline constexpr double kNoCapacity_s = 12.0;            // a refused kind is not asked for again before this
-inline constexpr double kSilent_s = 11.0;                // a worker silent this long is unreachable
-inline constexpr double kBootPatience = 3.0;             // times boot_s before a booting machine is given up
-inline constexpr double kBootExtra_s = 20.0;             // added to it: lists lag
-inline constexpr double kSaveSpare_s = 3.0;              // added to the time a task needs to save
-inline constexpr int kHostErrors = 2;                    // failed tasks of different jobs that condemn a machine
-inline constexpr int kJobHosts = 3;                      // machines a job fails on before the job is blamed
-inline constexpr double kJobBackoff_s = 10.0;            // first pause of a blamed job, doubled up to
-inline constexpr double kJobBackoffMax_s = 160.0;        //   this
+inline constexpr double kCloudShare = 0.7;         // share of the cloud's rate that one controller uses
+inline constexpr double kLeaderSettle_s = 6.0;     // a new leader hears its workers before it rents
+inline constexpr double kFleetTick_s = 1.0;        // interval of the rental decision
+inline constexpr double kListEvery_s = 4.0;        // interval of reading the machine list
+inline constexpr double kFlavorsEvery_s = 30.0;    // interval of reading the prices
+inline constexpr double kCloudCall_s = 6.0;        // a cloud call; answers take some 250 ms
+inline constexpr double kNoCapacity_s = 12.0;      // a refused kind is not asked for again before this
+inline constexpr double kSilent_s = 11.0;          // a worker silent this long is unreachable
+inline constexpr double kBootPatience = 3.0;       // times boot_s before a booting machine is given up
+inline constexpr double kBootExtra_s = 20.0;       // added to it: lists lag
+inline constexpr double kSaveSpare_s = 3.0;        // added to the time a task needs to save
+inline constexpr int kHostErrors = 2;              // failed tasks of different jobs that condemn a machine
+inline constexpr int kJobHosts = 3;                // machines a job fails on before the job is blamed
+inline constexpr double kJobBackoff_s = 10.0;      // first pause of a blamed job, doubled up to
+inline constexpr double kJobBackoffMax_s = 160.0;  //   this
 
 // --- operator page ----------------------------------------------------------------------------------
-inline constexpr double kWhyLog_s = 15.0;                // a waiting job's reason is logged at most this often
+inline constexpr double kWhyLog_s = 15.0;  // a waiting job's reason is logged at most this often
 
 }  // namespace hareshore::constants
--- a/src/cloud/cloud.cc
+++ b/src/cloud/cloud.cc
@@ -12,7 +12,8 @@
 
 Task<Answer> Cloud::call(std::string method, std::string path, std::string body) {
     while (!bucket_.take(1, loop_.now())) co_await loop_.sleep(bucket_.until(1, loop_.now()) + 0.001);
-    Answer a = co_await http_.call(std::move(method), std::move(path), std::move(body), constants::kCloudCall_s);
+    Answer a =
+        co_await http_.call(std::move(method), std::move(path), std::move(body), constants::kCloudCall_s);
     if (a.status == 429) bucket_.drain(loop_.now());
     co_return a;
 }
@@ -24,7 +25,12 @@
         p.map(10).key("name").text(f.name).key("vcpus").number(f.cpus).key("cards").number(f.gpus);
         p.key("memory_gb").number(f.memory_gb).key("cache_gb").number(f.cache_gb);
         p.key("fetch_gb_per_s").number(f.fetch_gb_per_s).key("price").number(f.price);
-        p.key("low_price").number(f.spot_price).key("boot_s").number(f.boot_s).key("coves").list(f.zones.size());
+        p.key("low_price")
+            .number(f.spot_price)
+            .key("boot_s")
+            .number(f.boot_s)
+            .key("coves")
+            .list(f.zones.size());
         for (const auto& z : f.zones) p.text(z);
     }
     return p.take();
@@ -85,7 +91,7 @@
                       : phase == "failed" ? MachinePhase::kFailed
                                           : MachinePhase::kBooting;
             x.age_s = n["age_s"].number_or(0);
-            if (x.name.empty()) co_return std::nullopt;
+            if (x.name.empty() || x.name.find(' ') != std::string::npos) co_return std::nullopt;
             from = x.name;
             machines.push_back(std::move(x));
         }
--- a/src/config/config.cc
+++ b/src/config/config.cc
@@ -1,8 +1,9 @@
 #include "config/config.h"
 
+#include <toml++/toml.h>
+
 #include <cmath>
 #include <functional>
-#include <toml++/toml.h>
 
 namespace hareshore {
 
@@ -59,8 +60,8 @@
         for (size_t i = 0; i < list->size(); ++i) {
             View s(list->get(i));
             std::string f = "siblings[" + std::to_string(i) + "].";
-            c.siblings.push_back(
-                {need_text(s["label"], f + "label"), need_text(s["site"], f + "site"), address(s["addr"], f + "addr")});
+            c.siblings.push_back({need_text(s["label"], f + "label"), need_text(s["site"], f + "site"),
+                                  address(s["addr"], f + "addr")});
         }
     }
     auto* zones = at("facts.zones").as_array();
@@ -94,7 +95,8 @@
     c.cloud_rps = pos("facts.cloud.rps");
     c.list_lag_s = number(at("facts.cloud.list_lag_s"), "facts.cloud.list_lag_s", 0, 1e6);
     c.sockets = at("facts.machine_limits.sockets")
-                    ? static_cast<size_t>(number(at("facts.machine_limits.sockets"), "facts.machine_limits.sockets", 16, 1e7))
+                    ? static_cast<size_t>(
+                          number(at("facts.machine_limits.sockets"), "facts.machine_limits.sockets", 16, 1e7))
                     : 512;
     return c;
 }
--- a/src/config/settings.cc
+++ b/src/config/settings.cc
@@ -32,7 +32,8 @@
     {"age-bound-s", 0, 86400, [](Settings& s, double v) { s.age_bound_s = v; }},
     {"min-machines", 0, 10000, [](Settings& s, double v) { s.min_machines = static_cast<int>(v); }, true},
     {"max-machines", 0, 10000, [](Settings& s, double v) { s.max_machines = static_cast<int>(v); }, true},
-    {"min-idle-machines", 0, 1000, [](Settings& s, double v) { s.min_idle_machines = static_cast<int>(v); }, true},
+    {"min-idle-machines", 0, 1000, [](Settings& s, double v) { s.min_idle_machines = static_cast<int>(v); },
+     true},
     {"idle-return-s", 5, 86400, [](Settings& s, double v) { s.idle_return_s = v; }},
     {"preempt-after-s", 0, 3600, [](Settings& s, double v) { s.preempt_after_s = v; }},
 };
@@ -43,10 +44,11 @@
         double v = 0;
         const char* end = value + std::strlen(value);
         auto got = std::from_chars(value, end, v);
-        if (got.ec != std::errc{} || got.ptr != end) throw ConfigError(where + f.name + ": a number is needed");
+        if (got.ec != std::errc{} || got.ptr != end)
+            throw ConfigError(where + f.name + ": a number is needed");
         if (!(v >= f.low && v <= f.high) || (f.whole && v != static_cast<int>(v)))
-            throw ConfigError(where + f.name + ": must be from " + std::to_string(static_cast<int>(f.low)) + " to " +
-                              std::to_string(static_cast<int>(f.high)) + (f.whole ? ", whole" : ""));
+            throw ConfigError(where + f.name + ": must be from " + std::to_string(static_cast<int>(f.low)) +
+                              " to " + std::to_string(static_cast<int>(f.high)) + (f.whole ? ", whole" : ""));
         f.set(s, v);
         return;
     }
--- a/src/fleet/cluster.h
+++ b/src/fleet/cluster.h
@@ -47,8 +47,9 @@
     uint64_t attempt = 0;
     TaskPhase phase = TaskPhase::kFetching;
     ExitCause cause = ExitCause::kNone;
-    uint64_t exit_version = 0;  // the job's version that accounts for the exit; it may be forgotten once committed
-    bool sized = false;         // amount and team are known
+    uint64_t exit_version =
+        0;               // the job's version that accounts for the exit; it may be forgotten once committed
+    bool sized = false;  // amount and team are known
     Amount amount;
     std::string team;
 };
@@ -59,10 +60,10 @@
 
     // From its reports.
     uint64_t session = 0, seq = 0;
-    bool reported = false;       // to this leader
-    bool current = false;        // it has seen this leader's epoch: older launches can no longer arrive
-    Seconds last_report = 0;     // when it last reported, or when this leader first knew of it
-    Seconds leaves_at = -1;      // spot notice
+    bool reported = false;    // to this leader
+    bool current = false;     // it has seen this leader's epoch: older launches can no longer arrive
+    Seconds last_report = 0;  // when it last reported, or when this leader first knew of it
+    Seconds leaves_at = -1;   // spot notice
     std::vector<HostTask> tasks;
     ImageCache cache;
 
--- a/src/fleet/plan.cc
+++ b/src/fleet/plan.cc
@@ -64,7 +64,8 @@
                 give_back(*h, "it failed");
             } else if (h->phase == MachinePhase::kRunning && h->reported && !h->holding && quiet > patience) {
                 give_back(*h, "it is unreachable");
-            } else if (h->phase == MachinePhase::kRunning && !h->reported && quiet > patience + in_.config.lease_s) {
+            } else if (h->phase == MachinePhase::kRunning && !h->reported &&
+                       quiet > patience + in_.config.lease_s) {
                 give_back(*h, "it never reported");
             } else if (h->phase == MachinePhase::kBooting && f &&
                        in_.now - h->born > constants::kBootPatience * f->boot_s + constants::kBootExtra_s &&
@@ -128,7 +129,8 @@
                     Kind kind{f.name, z, spot};
                     if (!s.allows(f.name, z, spot) || refused(kind)) continue;
                     auto n = in_zone_.find(z);
-                    out.emplace_back((spot ? f.spot_price : f.price) / k, n == in_zone_.end() ? 0 : n->second, kind);
+                    out.emplace_back((spot ? f.spot_price : f.price) / k, n == in_zone_.end() ? 0 : n->second,
+                                     kind);
                 }
         }
         std::sort(out.begin(), out.end());
@@ -177,9 +179,11 @@
             if (rule.room(zone) == 0) continue;
             uint32_t have = 0;
             for (const Slot& x : slots_)
-                if (x.kind.zone == zone && s.allows(x.kind.flavor, zone, x.kind.spot)) have += x.free.fits(s, n);
+                if (x.kind.zone == zone && s.allows(x.kind.flavor, zone, x.kind.spot))
+                    have += x.free.fits(s, n);
             uint32_t lack = have >= n ? 0 : n - have;
-            bool rentable = std::any_of(options.begin(), options.end(), [&](const Kind& k) { return k.zone == zone; });
+            bool rentable =
+                std::any_of(options.begin(), options.end(), [&](const Kind& k) { return k.zone == zone; });
             if (lack > 0 && !rentable) continue;
             if (lack < best_lack) {
                 best = zone;
@@ -203,7 +207,8 @@
             int idle = 0;
             for (const Slot& s : slots_)
                 if (s.kind.zone == zone && is_idle(s)) ++idle;
-            int lack = std::max(in_.settings.min_idle_machines - idle, in_.settings.min_machines - in_zone_[zone]);
+            int lack =
+                std::max(in_.settings.min_idle_machines - idle, in_.settings.min_machines - in_zone_[zone]);
             for (const Flavor& f : cluster_.flavors) {
                 if (std::find(f.zones.begin(), f.zones.end(), zone) == f.zones.end()) continue;
                 for (bool spot : {true, false}) {
@@ -229,7 +234,8 @@
             spare = std::min(spare, in_zone_[zone] - in_.settings.min_machines);
             for (const Slot* s : idle) {
                 if (spare <= 0) break;
-                if (in_.now - std::max(s->host->idle_since, in_.leading_since) < in_.settings.idle_return_s) continue;
+                if (in_.now - std::max(s->host->idle_since, in_.leading_since) < in_.settings.idle_return_s)
+                    continue;
                 give_back(*s->host, "it was idle");
                 --spare;
             }
--- a/src/http/pack.cc
+++ b/src/http/pack.cc
@@ -42,7 +42,8 @@
     if (!o_) return std::nullopt;
     if (o_->type == msgpack::type::POSITIVE_INTEGER) return o_->via.u64;
     auto d = number();
-    if (!d || *d < 0 || *d > static_cast<double>(constants::kMaxCount) || *d != std::floor(*d)) return std::nullopt;
+    if (!d || *d < 0 || *d > static_cast<double>(constants::kMaxCount) || *d != std::floor(*d))
+        return std::nullopt;
     return static_cast<uint64_t>(*d);
 }
 
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -24,8 +24,12 @@
         http_parser_init(&parser, HTTP_REQUEST);
         parser.data = this;
         http_parser_settings_init(&settings);
-        settings.on_url = [](http_parser* p, const char* at, size_t n) { return self(p).on_head(at, n, true); };
-        settings.on_header_field = [](http_parser* p, const char* at, size_t n) { return self(p).on_head(at, n, false); };
+        settings.on_url = [](http_parser* p, const char* at, size_t n) {
+            return self(p).on_head(at, n, true);
+        };
+        settings.on_header_field = [](http_parser* p, const char* at, size_t n) {
+            return self(p).on_head(at, n, false);
+        };
         settings.on_header_value = settings.on_header_field;
         settings.on_headers_complete = [](http_parser* p) {
             auto& c = self(p);
@@ -68,23 +72,35 @@
 
 const char* reason(int status) {
     switch (status) {
-        case 200: return "OK";
-        case 201: return "Created";
-        case 400: return "Bad Request";
-        case 404: return "Not Found";
-        case 405: return "Method Not Allowed";
-        case 409: return "Conflict";
-        case 421: return "Misdirected Request";
-        case 422: return "Unprocessable Entity";
-        case 429: return "Too Many Requests";
-        case 503: return "Service Unavailable";
-        default: return "Status";
+        case 200:
+            return "OK";
+        case 201:
+            return "Created";
+        case 400:
+            return "Bad Request";
+        case 404:
+            return "Not Found";
+        case 405:
+            return "Method Not Allowed";
+        case 409:
+            return "Conflict";
+        case 421:
+            return "Misdirected Request";
+        case 422:
+            return "Unprocessable Entity";
+        case 429:
+            return "Too Many Requests";
+        case 503:
+            return "Service Unavailable";
+        default:
+            return "Status";
     }
 }
 
 std::string render(const Response& r, bool keep) {
-    std::string s = "HTTP/1.1 " + std::to_string(r.status) + ' ' + reason(r.status) + "\r\nContent-Type: " + r.type +
-                    "\r\nContent-Length: " + std::to_string(r.body.size()) + "\r\n";
+    std::string s = "HTTP/1.1 " + std::to_string(r.status) + ' ' + reason(r.status) +
+                    "\r\nContent-Type: " + r.type + "\r\nContent-Length: " + std::to_string(r.body.size()) +
+                    "\r\n";
     if (r.retry_after > 0) s += "Retry-After: " + std::to_string(r.retry_after) + "\r\n";
     if (!keep) s += "Connection: close\r\n";
     return s + "\r\n" + r.body;
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -10,6 +10,7 @@
   public:
     using Handler = std::function<Task<Response>(Request)>;
     HttpServer(Loop& loop, Address at, size_t most_connections, Handler handler);
+    void stop() { scope_.cancel(); }
     size_t connections() const { return scope_.size() - 1; }
 
   private:
--- a/src/jobs/record.cc
+++ b/src/jobs/record.cc
@@ -15,7 +15,10 @@
     Packer p;
     p.map(26);
     p.key("id").text(spec.id).key("class").text(spec.job_class).key("team").text(spec.team);
-    p.key("gang").flag(spec.gang()).key("rank").count(static_cast<uint64_t>(spec.rank));
+    p.key("shape")
+        .count(static_cast<uint64_t>(spec.shape))
+        .key("rank")
+        .count(static_cast<uint64_t>(spec.rank));
     p.key("tasks").count(spec.tasks).key("cpus").number(spec.cpus).key("gpus").number(spec.gpus);
     p.key("mem").number(spec.memory_gb).key("image").text(spec.image).key("image_gb").number(spec.image_gb);
     p.key("flavors").list(spec.flavors.size());
@@ -25,10 +28,10 @@
     p.key("checkpoint_s").number(spec.checkpoint_s).key("save_s").number(spec.save_s);
     p.key("due_s").number(spec.due_s.value_or(-1)).key("at").number(accepted_wall);
     p.key("withdrawn").flag(withdrawn).key("done").text(done.text()).key("next").count(next_attempt);
-    // A placement a line, "task attempt zone host"; the host's name comes last.
+    // A placement a line, "task attempt host zone"; names of machines have no spaces.
     p.key("live").list(live.size());
     for (const auto& [task, b] : live)
-        p.text(std::to_string(task) + ' ' + std::to_string(b.attempt) + ' ' + b.zone + ' ' + b.host);
+        p.text(std::to_string(task) + ' ' + std::to_string(b.attempt) + ' ' + b.host + ' ' + b.zone);
     p.key("v").count(1);
     return p.take();
 }
@@ -46,8 +49,9 @@
     std::string rest(c.ptr + 1, end);
     auto space = rest.find(' ');
     if (space == std::string::npos) return std::nullopt;
-    b.zone = rest.substr(0, space);
-    b.host = rest.substr(space + 1);
+    b.host = rest.substr(0, space);
+    b.zone = rest.substr(space + 1);
+    if (b.host.empty()) return std::nullopt;
     return std::pair{task, b};
 }
 
@@ -61,7 +65,7 @@
     r.spec.id = n["id"].text_or("");
     r.spec.job_class = n["class"].text_or("");
     r.spec.team = n["team"].text_or("");
-    r.spec.shape = n["gang"].flag_or(false) ? Shape::kGang : Shape::kArray;
+    r.spec.shape = static_cast<Shape>(std::min<uint64_t>(2, n["shape"].count_or(0)));
     r.spec.rank = static_cast<Rank>(std::min<uint64_t>(3, n["rank"].count_or(1)));
     uint64_t tasks = n["tasks"].count_or(0);
     if (r.spec.id.empty() || tasks == 0 || tasks > constants::kMaxTasks) return std::nullopt;
@@ -96,7 +100,15 @@
 
 std::string FinalRecord::pack() const {
     Packer p;
-    p.map(4).key("id").text(id).key("withdrawn").flag(withdrawn).key("tasks").count(tasks).key("done").count(done);
+    p.map(4)
+        .key("id")
+        .text(id)
+        .key("withdrawn")
+        .flag(withdrawn)
+        .key("tasks")
+        .count(tasks)
+        .key("done")
+        .count(done);
     return p.take();
 }
 
--- a/src/jobs/record.h
+++ b/src/jobs/record.h
@@ -41,8 +41,12 @@
 
 inline const std::string kLivePrefix = "j/";
 inline const std::string kFinalPrefix = "f/";
-inline std::string live_key(const std::string& id) { return kLivePrefix + id; }
-inline std::string final_key(const std::string& id) { return kFinalPrefix + id; }
+inline std::string live_key(const std::string& id) {
+    return kLivePrefix + id;
+}
+inline std::string final_key(const std::string& id) {
+    return kFinalPrefix + id;
+}
 
 // "job-000412/3" to the job's id and the task's number.
 struct TaskName {
--- a/src/jobs/spec.h
+++ b/src/jobs/spec.h
@@ -9,7 +9,8 @@
 
 namespace hareshore {
 
-enum class Shape : uint8_t { kArray, kGang };
+// A service is an array whose tasks run until the job is withdrawn (docs/questions.md, 1).
+enum class Shape : uint8_t { kArray, kGang, kService };
 enum class Rank : uint8_t { kIdle, kStandard, kHigh, kProduction };
 
 struct JobSpec {
--- a/src/jobs/table.cc
+++ b/src/jobs/table.cc
@@ -9,21 +9,31 @@
 
 const char* wait_text(Wait w) {
     switch (w) {
-        case Wait::kNone: return "not waiting";
-        case Wait::kNew: return "just arrived, not looked at yet";
-        case Wait::kTeamLimit: return "its team's limit is used up";
-        case Wait::kNoRoom: return "no machine that it may use has room";
-        case Wait::kGangRoom: return "no room for all tasks of the gang at once";
-        case Wait::kHeldForImage: return "held briefly for an idle machine that has its image";
-        case Wait::kBackoff: return "its tasks failed on several machines; it is tried again later";
-        case Wait::kOldAttempt: return "tasks of its last attempt are still on their machines";
-        case Wait::kRecordFull: return "its record is full; more tasks start as others finish";
+        case Wait::kNone:
+            return "not waiting";
+        case Wait::kNew:
+            return "just arrived, not looked at yet";
+        case Wait::kTeamLimit:
+            return "its team's limit is used up";
+        case Wait::kNoRoom:
+            return "no machine that it may use has room";
+        case Wait::kGangRoom:
+            return "no room for all tasks of the gang at once";
+        case Wait::kHeldForImage:
+            return "held briefly for an idle machine that has its image";
+        case Wait::kBackoff:
+            return "its tasks failed on several machines; it is tried again later";
+        case Wait::kOldAttempt:
+            return "tasks of its last attempt are still on their machines";
+        case Wait::kRecordFull:
+            return "its record is full; more tasks start as others finish";
     }
     return "";
 }
 
 bool Job::room_in_record(size_t value_bytes, uint32_t more) const {
-    size_t used = constants::kRecordSpare + done.pieces() * 13 + (live.size() + more) * constants::kPlacementBytes;
+    size_t used =
+        constants::kRecordSpare + done.pieces() * 13 + (live.size() + more) * constants::kPlacementBytes;
     return used < value_bytes;
 }
 
@@ -126,7 +136,8 @@
             continue;
         }
         size_t cost = j->over() || j->withdrawn ? 2 : 1;
-        size_t size = constants::kRecordSpare + j->done.pieces() * 13 + j->live.size() * constants::kPlacementBytes;
+        size_t size =
+            constants::kRecordSpare + j->done.pieces() * 13 + j->live.size() * constants::kPlacementBytes;
         full = full || ops + cost > most_ops || (bytes > 0 && bytes + size > most_bytes);
         if (full) {
             rest.push_back(std::move(id));
@@ -250,7 +261,8 @@
     if (job.failed_on.size() >= static_cast<size_t>(constants::kJobHosts)) {
         if (!job.blamed) {
             job.blamed = true;
-            log::info("job {}: failed on {} machines, taken for a faulty job", job.spec.id, job.failed_on.size());
+            log::info("job {}: failed on {} machines, taken for a faulty job", job.spec.id,
+                      job.failed_on.size());
             for (auto& [name, h] : cluster.hosts) h->failed_jobs.erase(job.spec.id);
         }
     }
@@ -267,7 +279,8 @@
     }
 }
 
-void JobTable::exited(Cluster& cluster, Host& host, Job& job, uint32_t task, const ReportedTask& t, Seconds now) {
+void JobTable::exited(Cluster& cluster, Host& host, Job& job, uint32_t task, const ReportedTask& t,
+                      Seconds now) {
     log::debug("task {} attempt {} on {} exited, cause {}", t.name.text(), t.attempt, host.name,
                static_cast<int>(t.cause));
     switch (t.cause) {
@@ -289,7 +302,8 @@
     if (job.spec.gang()) {
         // After its start a gang that lost a task ends; before, a replacement may complete it, but not
         // when it ran out of time.
-        if (job.started || t.cause == ExitCause::kIncomplete || t.cause == ExitCause::kPeersGone) job.broken = true;
+        if (job.started || t.cause == ExitCause::kIncomplete || t.cause == ExitCause::kPeersGone)
+            job.broken = true;
         if (t.cause == ExitCause::kError) job.broken = true;
     }
     release(job, task, now);
@@ -333,11 +347,12 @@
             x.sized = true;
             x.amount = Amount::of(job->spec);
             x.team = job->spec.team;
-            if (t.phase != TaskPhase::kFetching && t.cause != ExitCause::kNoRoom && t.cause != ExitCause::kBusy &&
-                t.cause != ExitCause::kUnknownJob && !known_exit)
+            if (t.phase != TaskPhase::kFetching && t.cause != ExitCause::kNoRoom &&
+                t.cause != ExitCause::kBusy && t.cause != ExitCause::kUnknownJob && !known_exit)
                 host.cache.use(job->spec.image, job->spec.image_gb);
             auto it = job->live.find(t.name.task);
-            bool mine = it != job->live.end() && it->second.host == host.name && it->second.attempt == t.attempt;
+            bool mine =
+                it != job->live.end() && it->second.host == host.name && it->second.attempt == t.attempt;
             // A gang's replacement may come to a machine that still lists an exit of the same attempt.
             if (mine && known_exit && !it->second.seen) mine = false;
             if (mine) {
@@ -353,8 +368,9 @@
                     exited(cluster, host, *job, t.name.task, t, now);
                     x.exit_version = job->version;
                 }
-            } else if (t.phase == TaskPhase::kExited && t.cause == ExitCause::kDone && !job->done.has(t.name.task) &&
-                       t.name.task < job->spec.tasks && it == job->live.end()) {
+            } else if (t.phase == TaskPhase::kExited && t.cause == ExitCause::kDone &&
+                       !job->done.has(t.name.task) && t.name.task < job->spec.tasks &&
+                       it == job->live.end()) {
                 // A result of an attempt that was given up: the work is done all the same.
                 complete(*job, t.name.task, now);
                 x.exit_version = job->version;
@@ -413,11 +429,13 @@
         Job* job = find(t.name.job);
         if (t.phase == TaskPhase::kExited) {
             // Forgotten only when the state service has what came of it.
-            if (!job || job->committed >= t.exit_version) out.push_back({Verb::kForget, t.name, t.attempt, 0});
+            if (!job || job->committed >= t.exit_version)
+                out.push_back({Verb::kForget, t.name, t.attempt, 0});
             continue;
         }
         auto it = job ? job->live.find(t.name.task) : decltype(job->live.find(0)){};
-        bool mine = job && it != job->live.end() && it->second.host == host.name && it->second.attempt == t.attempt;
+        bool mine =
+            job && it != job->live.end() && it->second.host == host.name && it->second.attempt == t.attempt;
         if (!mine) {
             // Nothing vouches for it: its job is over, or its attempt was given up.
             out.push_back({Verb::kHalt, t.name, t.attempt, 0});
--- a/src/jobs/table.h
+++ b/src/jobs/table.h
@@ -13,13 +13,13 @@
 struct Placement {
     uint64_t attempt = 0;
     std::string host, zone;
-    uint64_t version = 0;      // the job's version that first holds it; launched once that is committed
-    bool inherited = false;    // from an earlier leader, who may have launched it
+    uint64_t version = 0;    // the job's version that first holds it; launched once that is committed
+    bool inherited = false;  // from an earlier leader, who may have launched it
     uint64_t sent_session = 0, sent_seq = 0;  // newest report whose answer carried the launch; 0: none
-    bool seen = false;         // the machine has reported it
+    bool seen = false;                        // the machine has reported it
     TaskPhase phase = TaskPhase::kFetching;
     Seconds bound_at = 0;
-    bool stopping = false;     // it is being stopped, with this much time to save
+    bool stopping = false;  // it is being stopped, with this much time to save
     Seconds grace_s = 0;
     Seconds running_since = -1;
 };
--- a/src/lead/election.h
+++ b/src/lead/election.h
@@ -13,8 +13,8 @@
     Task<void> run();
 
     bool leading() const { return leading_; }
-    uint64_t epoch() const { return epoch_; }            // our term, while leading
-    uint64_t stamp() const { return stamp_; }            // of the leadership key: the condition of every write
+    uint64_t epoch() const { return epoch_; }  // our term, while leading
+    uint64_t stamp() const { return stamp_; }  // of the leadership key: the condition of every write
     const std::string& leader() const { return leader_; }  // who is thought to lead; may be empty
     uint64_t known_epoch() const { return known_epoch_; }  // highest term heard of
     Signal& changed() { return changed_; }
--- a/src/lead/leader.cc
+++ b/src/lead/leader.cc
@@ -19,8 +19,8 @@
 
 }  // namespace
 
-Leader::Leader(Loop& loop, const Config& config, const Settings& settings, StateService& state, Cloud& cloud, Term term,
-               std::vector<Flavor> flavors, Vouch vouch, Deposed deposed)
+Leader::Leader(Loop& loop, const Config& config, const Settings& settings, StateService& state, Cloud& cloud,
+               Term term, std::vector<Flavor> flavors, Vouch vouch, Deposed deposed)
     : loop_(loop),
       config_(config),
       settings_(settings),
@@ -29,7 +29,8 @@
       term_(std::move(term)),
       vouch_(std::move(vouch)),
       deposed_(std::move(deposed)),
-      writes_(config.write_rps * constants::kLeaderShare, std::max(2.0, config.write_rps * constants::kLeaderShare)),
+      writes_(config.write_rps * constants::kLeaderShare,
+              std::max(2.0, config.write_rps * constants::kLeaderShare)),
       ready_(loop),
       dirty_(loop),
       scope_(loop) {
@@ -83,7 +84,8 @@
     uint64_t tide = 0;
     Seconds began = loop_.now();
     while (true) {
-        ListResult page = co_await state_.list(kLivePrefix, from, constants::kStatePage, constants::kStateCall_s * 2);
+        ListResult page =
+            co_await state_.list(kLivePrefix, from, constants::kStatePage, constants::kStateCall_s * 2);
         if (page.reply != Reply::kOk) co_return false;
         if (tide == 0) tide = page.tide;  // changes since the first page are watched
         for (auto& e : page.entries) {
@@ -195,7 +197,8 @@
                 co_return;
             }
             for (const auto& id : ids)
-                if (std::find(r.failed.begin(), r.failed.end(), live_key(id)) != r.failed.end()) co_await reread(id);
+                if (std::find(r.failed.begin(), r.failed.end(), live_key(id)) != r.failed.end())
+                    co_await reread(id);
             step(nullptr);
             continue;
         }
@@ -296,7 +299,10 @@
     Response ok;
     std::vector<Order> orders = jobs_.orders(*h, h->current);
     for (const auto& o : orders)
-        log::debug("{} {} attempt {} to {}", o.verb == Verb::kLaunch ? "launch" : o.verb == Verb::kHalt ? "halt" : "forget",
+        log::debug("{} {} attempt {} to {}",
+                   o.verb == Verb::kLaunch ? "launch"
+                   : o.verb == Verb::kHalt ? "halt"
+                                           : "forget",
                    o.name.text(), o.attempt, name);
     ok.body = pack_report_answer(term_.epoch, orders);
     co_return ok;
@@ -319,7 +325,8 @@
     for (auto& [name, h] : cluster_.hosts)
         if (h->holding && h.get() != asker) in.askers.push_back(h.get());
     for (const auto& b : match(cluster_, jobs_, in))
-        log::debug("bound {}/{} attempt {} to {}", b.job->spec.id, b.task, b.job->live.at(b.task).attempt, b.host->name);
+        log::debug("bound {}/{} attempt {} to {}", b.job->spec.id, b.task, b.job->live.at(b.task).attempt,
+                   b.host->name);
     for (const auto& host : jobs_.take_urgent()) {
         Line& l = line(host);
         if (l.ordering) {
@@ -415,7 +422,8 @@
         if (cluster_.flavors.empty()) continue;
         // The machine list lags; what an earlier leader rented shows up only after that.
         if (loop_.now() - loaded_at_ < constants::kLeaderSettle_s) continue;
-        FleetInput in{config_, settings_, loop_.now(), loaded_at_, refused_until_, on_order_, true, kind_seen_spot_only()};
+        FleetInput in{config_,        settings_, loop_.now(), loaded_at_,
+                      refused_until_, on_order_, true,        kind_seen_spot_only()};
         FleetPlan plan = plan_fleet(cluster_, jobs_, in);
         for (auto& r : plan.rent) {
             while (r.number > 0) {
@@ -444,7 +452,8 @@
     std::string claim = "r-" + std::to_string(term_.epoch) + "-" + std::to_string(++claims_);
     Seconds pause = constants::kRetryPause_s;
     while (true) {
-        RentResult r = co_await cloud_.rent(claim, rental.kind.flavor, rental.kind.zone, rental.kind.spot, rental.number);
+        RentResult r = co_await cloud_.rent(claim, rental.kind.flavor, rental.kind.zone, rental.kind.spot,
+                                            rental.number);
         if (r.result == Rent::kRented || r.result == Rent::kNoCapacity) {
             for (const auto& name : r.machines) {
                 if (gone_.count(name)) continue;
@@ -454,8 +463,8 @@
                 h.zone = rental.kind.zone;
                 h.spot = rental.kind.spot;
             }
-            log::info("rented {} of {} {} in {}{}", r.machines.size(), rental.number, rental.kind.flavor, rental.kind.zone,
-                      rental.kind.spot ? ", spot" : "");
+            log::info("rented {} of {} {} in {}{}", r.machines.size(), rental.number, rental.kind.flavor,
+                      rental.kind.zone, rental.kind.spot ? ", spot" : "");
             if (r.machines.size() < static_cast<size_t>(rental.number))
                 refused_until_[rental.kind] = loop_.now() + constants::kNoCapacity_s;
             break;
@@ -493,8 +502,8 @@
         if (!j->waiting() || loop_.now() - j->waiting_since < constants::kWhyLog_s) continue;
         if (loop_.now() - j->why_logged < constants::kWhyLog_s) continue;
         j->why_logged = loop_.now();
-        log::info("job {}: {} of {} tasks wait, the first for {:.0f} s: {}", id, j->pending.size(), j->spec.tasks,
-                  loop_.now() - j->waiting_since, wait_text(j->why));
+        log::info("job {}: {} of {} tasks wait, the first for {:.0f} s: {}", id, j->pending.size(),
+                  j->spec.tasks, loop_.now() - j->waiting_since, wait_text(j->why));
     }
 }
 
@@ -502,10 +511,13 @@
     std::string s;
     for (const auto& [id, j] : jobs_.all()) {
         s += fmt::format("{} {} team {} {} of {} tasks done, {} on machines, {} waiting", id,
-                         j->spec.gang() ? "gang" : "array", j->spec.team, j->done.size(), j->spec.tasks, j->live.size(),
-                         j->pending.size());
+                         j->spec.gang()                     ? "gang"
+                         : j->spec.shape == Shape::kService ? "service"
+                                                            : "array",
+                         j->spec.team, j->done.size(), j->spec.tasks, j->live.size(), j->pending.size());
         if (j->withdrawn) s += ", withdrawn";
-        if (j->waiting()) s += fmt::format(" for {:.0f} s: {}", loop_.now() - j->waiting_since, wait_text(j->why));
+        if (j->waiting())
+            s += fmt::format(" for {:.0f} s: {}", loop_.now() - j->waiting_since, wait_text(j->why));
         s += '\n';
     }
     return s;
@@ -519,7 +531,8 @@
                                                                  : "failed";
         s += fmt::format("{} {} {}{} {} {} tasks, report {:.0f} s ago{}{}\n", name, h->flavor, h->zone,
                          h->spot ? " spot" : "", phase, h->placed, loop_.now() - h->last_report,
-                         h->condemned ? ", condemned: " + h->why_condemned : "", h->deleting ? ", being returned" : "");
+                         h->condemned ? ", condemned: " + h->why_condemned : "",
+                         h->deleting ? ", being returned" : "");
     }
     return s;
 }
--- a/src/lead/leader.h
+++ b/src/lead/leader.h
@@ -23,8 +23,8 @@
     using Vouch = std::function<Seconds(Seconds since)>;
     using Deposed = std::function<void(const char* why)>;
 
-    Leader(Loop& loop, const Config& config, const Settings& settings, StateService& state, Cloud& cloud, Term term,
-           std::vector<Flavor> flavors, Vouch vouch, Deposed deposed);
+    Leader(Loop& loop, const Config& config, const Settings& settings, StateService& state, Cloud& cloud,
+           Term term, std::vector<Flavor> flavors, Vouch vouch, Deposed deposed);
     void start();
     void stop();
     bool stopped() const { return stopped_; }
@@ -83,7 +83,7 @@
     JobTable jobs_;
     Cluster cluster_;
     std::unordered_map<std::string, std::unique_ptr<Line>> lines_;
-    std::set<std::string> gone_;  // machines whose deletion was confirmed
+    std::set<std::string> gone_;                          // machines whose deletion was confirmed
     std::unordered_map<std::string, uint64_t> finished_;  // jobs erased from the table, with the revision
     std::deque<std::string> finished_order_;
     std::map<Kind, Seconds> refused_until_;
@@ -92,8 +92,8 @@
     bool flavors_kept_ = false;
 
     bool loaded_ = false, stopped_ = false;
-    uint64_t tide_ = 0;          // the watch has seen all changes up to this revision
-    Seconds fresh_ = -1e9;       // no withdrawal before this is missing
+    uint64_t tide_ = 0;     // the watch has seen all changes up to this revision
+    Seconds fresh_ = -1e9;  // no withdrawal before this is missing
     Seconds loaded_at_ = 0;
     uint64_t claims_ = 0;
     Bucket writes_;
--- a/src/loop/loop.cc
+++ b/src/loop/loop.cc
@@ -64,7 +64,8 @@
 };
 
 template <class State>
-Root run_root(Task<void> task, std::string name, std::shared_ptr<State> state, std::unique_ptr<Routine> routine) {
+Root run_root(Task<void> task, std::string name, std::shared_ptr<State> state,
+              std::unique_ptr<Routine> routine) {
     try {
         if (!routine->cancelled) co_await task;
     } catch (const Cancelled&) {
--- a/src/match/match.cc
+++ b/src/match/match.cc
@@ -38,8 +38,9 @@
         q.push_back(e);
     }
     std::sort(q.begin(), q.end(), [](const Queued& a, const Queued& b) {
-        return std::tuple(!a.entitled, -static_cast<int>(a.job->spec.rank), !a.aged, a.job->accepted, a.job->spec.id) <
-               std::tuple(!b.entitled, -static_cast<int>(b.job->spec.rank), !b.aged, b.job->accepted, b.job->spec.id);
+        return std::tuple(!a.entitled, -static_cast<int>(a.job->spec.rank), !a.aged, a.job->accepted,
+                          a.job->spec.id) < std::tuple(!b.entitled, -static_cast<int>(b.job->spec.rank),
+                                                       !b.aged, b.job->accepted, b.job->spec.id);
     });
     return q;
 }
@@ -86,7 +87,9 @@
     }
 
     // A job keeps away from machines it failed on, unless it is blamed itself.
-    static bool avoids(const Job& job, const Host& h) { return !job.blamed && job.failed_on.count(h.name) > 0; }
+    static bool avoids(const Job& job, const Host& h) {
+        return !job.blamed && job.failed_on.count(h.name) > 0;
+    }
 
     void bind(Job& job, uint32_t task, Host& h, uint64_t attempt) {
         jobs_.bind(job, task, h, attempt, in_.now);
@@ -121,7 +124,8 @@
         const Queued* first = nullptr;
         for (const auto& q : jobs) {
             Job& job = *q.job;
-            if (first && (first->aged || job.accepted - first->job->accepted > in_.settings.similar_age_s)) break;
+            if (first && (first->aged || job.accepted - first->job->accepted > in_.settings.similar_age_s))
+                break;
             if (job.pending.empty() || (job.spec.gang() && job.spec.tasks > 1) || !may_start(job)) continue;
             if (!cluster_.within_limit(in_.config, job.spec, 1)) {
                 job.why = Wait::kTeamLimit;
@@ -152,7 +156,8 @@
 
     bool idle_holder(const Job& job, const Host& asker) const {
         for (const Host* h : usable_)
-            if (h != &asker && h->cache.has(job.spec.image) && fits(job, *h) && ZoneRule(job).room(h->zone) > 0)
+            if (h != &asker && h->cache.has(job.spec.image) && fits(job, *h) &&
+                ZoneRule(job).room(h->zone) > 0)
                 return true;
         return false;
     }
--- a/src/node.cc
+++ b/src/node.cc
@@ -38,21 +38,37 @@
       cloud_(loop, config.cloud, config.cloud_rps, config.siblings.size() + 1),
       election_(loop, state_, config.label, place_of(config)),
       users_(loop, config, state_, flavors_),
-      siblings_(loop, config, [this] { return beat(); }, [this](std::string body) { return relayed(std::move(body)); }),
-      server_(loop, config.listen, connection_limit(config), [this](Request r) { return handle(std::move(r)); }),
+      siblings_(
+          loop, config, [this] { return beat(); },
+          [this](std::string body) { return relayed(std::move(body)); }),
+      server_(loop, config.listen, connection_limit(config),
+              [this](Request r) { return handle(std::move(r)); }),
       scope_(loop) {
     scope_.spawn(election_.run(), "election");
     scope_.spawn(follow_election(), "leadership");
     scope_.spawn(learn_flavors(), "machine types");
 }
 
+Controller::~Controller() {
+    stop();
+}
+
+void Controller::stop() {
+    if (leader_) leader_->stop();
+    scope_.cancel();
+    server_.stop();
+    siblings_.stop();
+}
+
 back::Beat Controller::beat() const {
     back::Beat b{};
     back::set_label(b, config_.label);
     b.epoch = election_.leading() ? election_.epoch() : election_.known_epoch();
     b.leads = election_.leading();
     b.ready = ready();
-    auto ms = [&](Seconds since) { return static_cast<uint32_t>(std::clamp((loop_.now() - since) * 1000, 0.0, 4e9)); };
+    auto ms = [&](Seconds since) {
+        return static_cast<uint32_t>(std::clamp((loop_.now() - since) * 1000, 0.0, 4e9));
+    };
     b.state_age_ms = state_.last_contact() < 0 ? UINT32_MAX : ms(state_.last_contact());
     b.quiet_ms = ms(users_.last_withdrawal());
     return b;
@@ -97,7 +113,8 @@
             Leader::Term term{election_.epoch(), election_.stamp(), kLeaderKey};
             uint64_t epoch = election_.epoch();
             leader_ = std::make_shared<Leader>(
-                loop_, config_, settings_, state_, cloud_, term, flavors_, [this](Seconds since) { return vouched(since); },
+                loop_, config_, settings_, state_, cloud_, term, flavors_,
+                [this](Seconds since) { return vouched(since); },
                 [this, epoch](const char* why) {
                     if (election_.epoch() == epoch) election_.deposed(why);
                 });
@@ -132,7 +149,8 @@
         if (leader_ == leader && election_.leading()) co_return r;
     }
     const std::string& to = election_.leader();
-    if (to.empty() || to == config_.label) co_return Response{421, pack_redirect(""), 0, "application/msgpack"};
+    if (to.empty() || to == config_.label)
+        co_return Response{421, pack_redirect(""), 0, "application/msgpack"};
     if (pointed_.size() > constants::kPointed) pointed_.clear();
     Pointed& p = pointed_[host];
     Seconds now = loop_.now();
@@ -164,8 +182,9 @@
     } else if (path == "/operator/machines" && leader_) {
         r.body = leader_->machines_page();
     } else {
-        r.body = fmt::format("{} leader {} epoch {}\n", config_.label,
-                             election_.leader().empty() ? "unknown" : election_.leader(), election_.known_epoch());
+        r.body =
+            fmt::format("{} leader {} epoch {}\n", config_.label,
+                        election_.leader().empty() ? "unknown" : election_.leader(), election_.known_epoch());
     }
     return r;
 }
--- a/src/node.h
+++ b/src/node.h
@@ -12,6 +12,9 @@
 class Controller {
   public:
     Controller(Loop& loop, const Config& config, const Settings& settings);
+    ~Controller();
+    // Cancels every routine; the loop unwinds them in its next turns. Nothing may be destroyed before.
+    void stop();
     Task<Response> handle(Request request);
     const Election& election() const { return election_; }
     std::shared_ptr<Leader> leader() const { return leader_; }
--- a/src/state/state.h
+++ b/src/state/state.h
@@ -76,7 +76,8 @@
 
 class StateService {
   public:
-    StateService(Loop& loop, Address at) : loop_(loop), http_(loop, at, constants_pool()), watches_(loop, at, 4) {}
+    StateService(Loop& loop, Address at)
+        : loop_(loop), http_(loop, at, constants_pool()), watches_(loop, at, 4) {}
     Task<GetResult> get(std::string key, Seconds timeout);
     Task<ListResult> list(std::string prefix, std::string from, size_t page, Seconds timeout);
     Task<TxnResult> commit(Txn txn, Seconds timeout);
--- a/src/users/service.cc
+++ b/src/users/service.cc
@@ -17,7 +17,8 @@
 
 }  // namespace
 
-UserService::UserService(Loop& loop, const Config& config, StateService& state, const std::vector<Flavor>& flavors)
+UserService::UserService(Loop& loop, const Config& config, StateService& state,
+                         const std::vector<Flavor>& flavors)
     : loop_(loop), config_(config), state_(state), flavors_(flavors), last_withdrawal_(loop.now()) {}
 
 Task<Response> UserService::handle(const Request& request) {
@@ -41,7 +42,8 @@
     std::string verb = slash == std::string::npos ? "" : rest.substr(slash + 1);
     if (!verb.empty() && verb != "withdraw") co_return plain(404, "unknown path");
     if (slash != std::string::npos && verb.empty()) co_return plain(404, "unknown path");
-    if (request.method != (verb.empty() ? "GET" : "POST")) co_return plain(405, verb.empty() ? "use GET" : "use POST");
+    if (request.method != (verb.empty() ? "GET" : "POST"))
+        co_return plain(405, verb.empty() ? "use GET" : "use POST");
     if (!valid_job_id(id)) co_return plain(404, "unknown job");
     if (verb.empty()) co_return co_await query(id);
     co_return co_await withdraw(id);
@@ -99,12 +101,16 @@
 
 Response UserService::told(const std::string& id, const Known& k, bool counts) {
     if (k.phase == JobPhase::kWithdrawn) last_withdrawal_ = loop_.now();
-    return {200, counts ? pack_job(id, k.phase, k.done, k.running) : pack_phase(id, k.phase), 0, "application/msgpack"};
+    return {200, counts ? pack_job(id, k.phase, k.done, k.running) : pack_phase(id, k.phase), 0,
+            "application/msgpack"};
 }
 
 Task<Response> UserService::submit(const Request& request) {
     auto parsed = parse_submission(request.body);
-    if (auto* why = std::get_if<std::string>(&parsed)) co_return plain(400, *why);
+    if (auto* why = std::get_if<std::string>(&parsed)) {
+        log::info("submission refused: {}", *why);
+        co_return plain(400, *why);
+    }
     JobSpec spec = std::get<JobSpec>(std::move(parsed));
     if (flavors_.empty()) co_return unavailable();  // what can run is not known yet
     Seconds until = loop_.now() + constants::kUserWrite_s;
@@ -121,7 +127,8 @@
     record.accepted_wall = loop_.wall();
     Txn txn;
     txn.expect(live_key(spec.id), 0).expect(final_key(spec.id), 0).put(live_key(spec.id), record.pack());
-    TxnResult r = co_await state_.commit(std::move(txn), std::min(constants::kUserWrite_s, constants::kStateCall_s));
+    TxnResult r =
+        co_await state_.commit(std::move(txn), std::min(constants::kUserWrite_s, constants::kStateCall_s));
     if (r.reply == Reply::kOk) {
         log::debug("job {} accepted", spec.id);
         co_return Response{201, pack_phase(spec.id, JobPhase::kPending), 0, "application/msgpack"};
--- a/src/users/wire.cc
+++ b/src/users/wire.cc
@@ -8,10 +8,14 @@
 
 const char* phase_name(JobPhase p) {
     switch (p) {
-        case JobPhase::kPending: return "pending";
-        case JobPhase::kRunning: return "running";
-        case JobPhase::kDone: return "done";
-        case JobPhase::kWithdrawn: return "withdrawn";
+        case JobPhase::kPending:
+            return "pending";
+        case JobPhase::kRunning:
+            return "running";
+        case JobPhase::kDone:
+            return "done";
+        case JobPhase::kWithdrawn:
+            return "withdrawn";
     }
     return "pending";
 }
@@ -91,8 +95,15 @@
     s.job_class = f.text("jobclass", 128);
     s.team = f.text("owner", 128);
     std::string shape = f.text("shape", 16);
-    if (shape != "sweep" && shape != "ensemble") f.bad("shape");
-    s.shape = shape == "ensemble" ? Shape::kGang : Shape::kArray;
+    if (shape == "sweep") {
+        s.shape = Shape::kArray;
+    } else if (shape == "ensemble") {
+        s.shape = Shape::kGang;
+    } else if (shape == "standing") {
+        s.shape = Shape::kService;
+    } else {
+        f.bad("shape");
+    }
     std::string rank = f.text("rank", 16);
     if (rank == "production") {
         s.rank = Rank::kProduction;
--- a/src/workers/workers.cc
+++ b/src/workers/workers.cc
@@ -47,7 +47,8 @@
     auto session = n["tenure"].count();
     auto seq = n["tick"].count();
     auto epoch = n["epoch"].count();
-    if (!host || host->empty() || host->size() > 128 || host->find(' ') != std::string::npos) return std::nullopt;
+    if (!host || host->empty() || host->size() > 128 || host->find(' ') != std::string::npos)
+        return std::nullopt;
     if (!session || !seq || !epoch) return std::nullopt;
     r.host = *host;
     r.session = *session;
--- /dev/null
+++ b/tests/base_test.cc
@@ -0,0 +1,198 @@
+#include <gtest/gtest.h>
+
+#include <random>
+
+#include "back/frames.h"
+#include "base/bucket.h"
+#include "base/ranges.h"
+#include "config/config.h"
+#include "http/pack.h"
+#include "jobs/record.h"
+#include "users/wire.h"
+#include "workers/workers.h"
+
+using namespace hareshore;
+
+TEST(Ranges, MatchASetUnderRandomChanges) {
+    std::mt19937 rng(7);
+    Ranges r;
+    std::set<uint32_t> s;
+    for (int i = 0; i < 4000; ++i) {
+        uint32_t n = rng() % 60;
+        if (rng() % 2) {
+            EXPECT_EQ(r.add(n), s.insert(n).second);
+        } else {
+            EXPECT_EQ(r.remove(n), s.erase(n) == 1);
+        }
+        ASSERT_EQ(r.size(), s.size());
+        ASSERT_EQ(r.first(), s.empty() ? std::nullopt : std::optional<uint32_t>(*s.begin()));
+    }
+    auto again = Ranges::parse(r.text(), 60);
+    ASSERT_TRUE(again);
+    EXPECT_EQ(*again, r);
+}
+
+TEST(Ranges, RefuseWhatTheyWouldNotWrite) {
+    for (const char* bad : {"1-", "-1", "3,2", "1,,2", "1,2", "0-60", "a", "1, 2", "5-4", "1,"})
+        EXPECT_FALSE(Ranges::parse(bad, 60)) << bad;
+}
+
+TEST(Bucket, GivesTheRateAndTheBurst) {
+    Bucket b(10, 5);
+    EXPECT_TRUE(b.take(5, 1.0));
+    EXPECT_FALSE(b.take(1, 1.0));
+    EXPECT_NEAR(b.until(1, 1.0), 0.1, 1e-9);
+    EXPECT_TRUE(b.take(1, 1.11));
+}
+
+static const char* kGood = R"(
+label = "n0"
+site = "a"
+client_listen = "10.0.0.1:8080"
+back = "10.0.0.1:8081"
+future = "ignored"
+[endpoints]
+cloud = "10.2.0.2:8443"
+state = "10.2.0.1:2379"
+[facts]
+zones = ["a", "b"]
+skew_ms = 250.0
+[[facts.teams]]
+name = "t"
+gpus_max = 8.0
+[facts.workers]
+report_s = 3.0
+lease_s = 24.0
+gang_wait_s = 40.0
+gang_peer_s = 4.0
+cancel_s = 49.0
+[facts.state]
+rps = 80.0
+write_rps = 15.0
+value_kb = 8.0
+txn_ops = 12
+[facts.cloud]
+rps = 6.0
+list_lag_s = 6.0
+)";
+
+TEST(Config, ReadsTheFileAndIgnoresWhatItDoesNotKnow) {
+    Config c = Config::parse(kGood);
+    EXPECT_EQ(c.label, "n0");
+    EXPECT_EQ(c.zones.size(), 2u);
+    EXPECT_EQ(c.value_bytes, 8192u);
+    EXPECT_EQ(c.team("t")->gpus_max, 8.0);
+    EXPECT_EQ(c.team("u"), nullptr);
+}
+
+TEST(Config, NamesTheFieldThatIsMissingOrInvalid) {
+    auto error = [](std::string from, std::string to) {
+        std::string text = kGood;
+        auto at = text.find(from);
+        EXPECT_NE(at, std::string::npos);
+        text.replace(at, from.size(), to);
+        try {
+            Config::parse(text);
+        } catch (const ConfigError& e) {
+            return std::string(e.what());
+        }
+        return std::string();
+    };
+    EXPECT_NE(error("lease_s = 24.0", "").find("facts.workers.lease_s"), std::string::npos);
+    EXPECT_NE(error("lease_s = 24.0", "lease_s = nan").find("facts.workers.lease_s"), std::string::npos);
+    EXPECT_NE(error("lease_s = 24.0", "lease_s = \"24\"").find("facts.workers.lease_s"), std::string::npos);
+    EXPECT_NE(error("cancel_s = 49.0", "cancel_s = 20.0").find("cancel_s"), std::string::npos);
+    EXPECT_NE(error("back = \"10.0.0.1:8081\"", "back = \"host\"").find("back"), std::string::npos);
+    EXPECT_NE(error("site = \"a\"", "site = ").find("line"), std::string::npos);
+}
+
+TEST(Settings, AreSExpressionsWithPositionsInErrors) {
+    Settings s = Settings::parse("; ours\n(hold-s 4.5)\n(min-idle-machines 2)\n");
+    EXPECT_EQ(s.hold_s, 4.5);
+    EXPECT_EQ(s.min_idle_machines, 2);
+    auto error = [](const char* text) {
+        try {
+            Settings::parse(text);
+        } catch (const ConfigError& e) {
+            return std::string(e.what());
+        }
+        return std::string();
+    };
+    EXPECT_EQ(error("(hold-s 1)\n(holds 2)").substr(0, 7), "line 2:");
+    EXPECT_EQ(error("\n\n(hold-s -1)").substr(0, 7), "line 3:");
+    EXPECT_EQ(error("(min-machines 1.5)").substr(0, 7), "line 1:");
+    for (const char* bad :
+         {"hold-s 3", "(hold-s)", "(hold-s 1 2)", "(hold-s (1))", "(hold-s 1", ")", "(hold-s nan)", "()"})
+        EXPECT_NE(error(bad), "") << bad;
+}
+
+TEST(Record, SurvivesPacking) {
+    JobRecord r;
+    r.spec.id = "job-1";
+    r.spec.shape = Shape::kGang;
+    r.spec.tasks = 100;
+    r.spec.due_s = 30;
+    r.spec.flavors = {"g2"};
+    r.done = Ranges::whole(3);
+    r.next_attempt = 9;
+    r.live[5] = {8, "vm-000003", "zone a"};
+    r.live[6] = {8, "vm-000004", "b"};
+    auto again = JobRecord::unpack(r.pack());
+    ASSERT_TRUE(again);
+    EXPECT_EQ(again->spec, r.spec);
+    EXPECT_EQ(again->done, r.done);
+    EXPECT_EQ(again->live.at(5).host, "vm-000003");
+    EXPECT_EQ(again->live.at(5).zone, "zone a");
+    EXPECT_EQ(again->next_attempt, 9u);
+}
+
+// What a peer sends may be anything: every decoder takes it or leaves it.
+TEST(Decoders, SurviveMutatedMessages) {
+    JobRecord r;
+    r.spec.id = "job-1";
+    r.spec.tasks = 4;
+    r.live[1] = {1, "vm-1", "a"};
+    back::Beat beat{};
+    back::set_label(beat, "node-0");
+    Packer p;
+    p.map(4).key("host").text("vm-1").key("tenure").count(1).key("tick").count(2).key("epoch").count(3);
+    std::vector<std::string> seeds{r.pack(), p.take(), back::pack(back::Kind::kBeat, beat),
+                                   "(hold-s 4)(min-machines 1)"};
+    std::mt19937 rng(11);
+    size_t taken = 0;
+    for (int i = 0; i < 40000; ++i) {
+        std::string s = seeds[rng() % seeds.size()];
+        for (int k = static_cast<int>(rng() % 4); k > 0 && !s.empty(); --k) {
+            switch (rng() % 3) {
+                case 0:
+                    s[rng() % s.size()] = static_cast<char>(rng());
+                    break;
+                case 1:
+                    s.resize(rng() % s.size());
+                    break;
+                default:
+                    s.insert(rng() % s.size(), 1, static_cast<char>(rng()));
+            }
+        }
+        taken += JobRecord::unpack(s).has_value();
+        taken += Report::parse(s).has_value();
+        taken += std::holds_alternative<JobSpec>(parse_submission(s));
+        taken += FinalRecord::unpack(s).has_value();
+        back::Reader reader;
+        reader.feed(s);
+        while (auto f = reader.next()) taken += back::unpack_beat(f->payload).has_value();
+        try {
+            Settings::parse(s);
+            ++taken;
+        } catch (const ConfigError&) {
+        }
+    }
+    EXPECT_GT(taken, 1000u);  // the mutations are mild enough to reach the insides
+}
+
+TEST(Decoders, RefuseDeepNesting) {
+    std::string deep(60000, '\x91');  // lists in lists
+    EXPECT_FALSE(Message::parse(deep + '\xc0'));
+    std::string wide = "\xdd\xff\xff\xff\xff";  // a list that claims four thousand million entries
+    EXPECT_FALSE(Message::parse(wide));
+}
--- /dev/null
+++ b/tests/controller_test.cc
@@ -0,0 +1,286 @@
+// Whole controllers against scripted peers.
+#include <algorithm>
+
+#include "standins.h"
+
+using namespace hareshore;
+using namespace hareshore::test;
+
+namespace {
+
+std::string phase_of(const Answer& a) {
+    auto m = Message::parse(a.body);
+    return m ? m->root()["phase"].text_or("") : "";
+}
+
+}  // namespace
+
+TEST(Controller, RunsAJobFromSubmissionToDone) {
+    Site s;
+    s.start(0);
+    ASSERT_TRUE(s.until([&] { return s.leader() == 0; }));
+    s.run(1);
+    EXPECT_EQ(s.call(0, "GET", "/ready").status, 200);
+    EXPECT_EQ(s.call(0, "GET", "/v2/runs/job-1").status, 404);
+    EXPECT_EQ(s.call(0, "POST", "/v2/runs", job_body("job-1")).status, 201);
+    EXPECT_EQ(s.call(0, "POST", "/v2/runs", job_body("job-1")).status, 200) << "a retry makes no second job";
+    FakeWorker w;
+    s.settle(w);
+    s.hello(w, 0);
+    ASSERT_TRUE(w.find("job-1/0"));
+    s.hello(w, 0);
+    EXPECT_EQ(phase_of(s.call(0, "GET", "/v2/runs/job-1")), "running");
+    w.find("job-1/0")->phase = TaskPhase::kExited;
+    w.find("job-1/0")->cause = ExitCause::kDone;
+    s.hello(w, 0);
+    s.run(0.5);
+    EXPECT_EQ(phase_of(s.call(0, "GET", "/v2/runs/job-1")), "done");
+    EXPECT_EQ(phase_of(s.call(0, "POST", "/v2/runs/job-1/withdraw")), "done");
+    EXPECT_EQ(phase_of(s.call(0, "POST", "/v2/runs", job_body("job-1"))), "done");
+    s.hello(w, 0);
+    EXPECT_TRUE(w.tasks.empty()) << "forgotten once committed";
+}
+
+TEST(Controller, AnswersWhatItCannotTake) {
+    Site s;
+    s.start(0);
+    ASSERT_TRUE(s.until([&] { return s.leader() == 0; }));
+    s.run(1);
+    auto submit = [&](const std::function<void(std::map<std::string, std::string>&)>& change) {
+        return s.call(0, "POST", "/v2/runs", job_body("job-1", change)).status;
+    };
+    auto packed = [](auto f) {
+        Packer p;
+        f(p);
+        return p.take();
+    };
+    EXPECT_EQ(s.call(0, "POST", "/v2/runs", "\xc1").status, 400);
+    EXPECT_EQ(s.call(0, "POST", "/v2/runs", "\x93\x01\x02\x03").status, 400);
+    for (const char* field :
+         {"ref", "owner", "pieces", "vcpus", "bundle", "one_zone", "snapshot_s", "rank"}) {
+        EXPECT_EQ(submit([&](auto& f) { f.erase(field); }), 400) << field;
+        EXPECT_EQ(submit([&](auto& f) { f[field] = packed([](Packer& p) { p.list(0); }); }), 400) << field;
+    }
+    for (double bad : {-1.0, static_cast<double>(INFINITY), static_cast<double>(NAN)})
+        for (const char* field : {"pieces", "vcpus", "memory_gb", "size_gb", "expect_s", "due_s"})
+            EXPECT_EQ(submit([&](auto& f) { f[field] = packed([&](Packer& p) { p.number(bad); }); }), 400)
+                << field << bad;
+    EXPECT_EQ(submit([&](auto& f) { f["pieces"] = packed([](Packer& p) { p.count(100'001); }); }), 400);
+    EXPECT_EQ(submit([&](auto& f) { f["owner"] = packed([](Packer& p) { p.text("nobody"); }); }), 422);
+    EXPECT_EQ(submit([&](auto& f) { f["cards"] = packed([](Packer& p) { p.number(3); }); }), 422);
+    EXPECT_EQ(submit([&](auto& f) {
+                  f["shape"] = packed([](Packer& p) { p.text("ensemble"); });
+                  f["pieces"] = packed([](Packer& p) { p.count(9); });
+              }),
+              422);
+    EXPECT_EQ(s.call(0, "GET", "/v2/runs").status, 405);
+    EXPECT_EQ(s.call(0, "POST", "/v2/runs/job-1").status, 405);
+    EXPECT_EQ(s.call(0, "GET", "/nothing").status, 404);
+    EXPECT_EQ(s.call(0, "GET", "/v2/runs/job-1").status, 404) << "nothing of all this was accepted";
+    EXPECT_EQ(s.call(0, "POST", "/hello", "\x81").status, 400);
+    EXPECT_EQ(submit({}), 201) << "and the connection and the process are unharmed";
+}
+
+TEST(Controller, TellsUsersAtOnceWhenToComeBackInAnOutage) {
+    Site s;
+    s.start(0);
+    ASSERT_TRUE(s.until([&] { return s.leader() == 0; }));
+    s.run(1);
+    s.state.down = true;
+    Seconds began = s.loop.now();
+    EXPECT_EQ(s.call(0, "POST", "/v2/runs", job_body("job-1")).status, 503);
+    EXPECT_EQ(s.call(0, "GET", "/v2/runs/job-1").status, 503);
+    EXPECT_EQ(s.call(0, "POST", "/v2/runs/job-1/withdraw").status, 503);
+    EXPECT_LT(s.loop.now() - began, 0.5);
+    s.state.down = false;
+    s.run(3);
+    EXPECT_EQ(s.call(0, "POST", "/v2/runs", job_body("job-1")).status, 201);
+}
+
+TEST(Controller, AnotherTakesOverAndKeepsWhatRuns) {
+    Site s(2);
+    s.start(0);
+    s.start(1);
+    ASSERT_TRUE(s.until([&] { return s.leader() >= 0; }));
+    int first = s.leader(), second = 1 - first;
+    s.run(1);
+    FakeWorker w;
+    s.settle(w);
+    uint64_t epoch = w.epoch;
+    ASSERT_EQ(s.call(second, "POST", "/v2/runs", job_body("job-1")).status, 201) << "any node serves users";
+    s.hello(w, first);
+    s.hello(w, first);
+    ASSERT_TRUE(w.find("job-1/0"));
+    EXPECT_EQ(s.hello(w, second), 421);
+    s.kill(first);
+    ASSERT_TRUE(s.until([&] { return s.leader() == second; }, 15));
+    s.settle(w);
+    EXPECT_GT(w.epoch, epoch);
+    s.hello(w, second);
+    ASSERT_TRUE(w.find("job-1/0"));
+    EXPECT_EQ(w.find("job-1/0")->attempt, 1u);
+    EXPECT_EQ(w.find("job-1/0")->phase, TaskPhase::kRunning);
+}
+
+// A node that restarts finds its own last leadership in the store and ends it, rather than believing that
+// it still leads or waiting for the lease. The epoch is never used again.
+TEST(Controller, ARestartDuringItsOwnLeadershipTakesANewEpoch) {
+    Site s;
+    s.start(0);
+    ASSERT_TRUE(s.until([&] { return s.leader() == 0; }));
+    uint64_t epoch = s.nodes[0]->election().epoch();
+    s.kill(0);
+    s.start(0);
+    ASSERT_TRUE(s.until([&] { return s.leader() == 0; }, 3)) << "well before the lease ends";
+    EXPECT_GT(s.nodes[0]->election().epoch(), epoch);
+}
+
+// A leader's transaction is held up, the leader is deposed, and the transaction arrives after all.
+TEST(Controller, ADeposedLeadersLateTransactionChangesNothing) {
+    Site s(2);
+    s.start(0);
+    s.start(1);
+    ASSERT_TRUE(s.until([&] { return s.leader() >= 0; }));
+    int first = s.leader();
+    s.run(1);
+    FakeWorker w;
+    s.settle(w);
+    bool hold = false;
+    s.state.let_through = [&](const std::string& body) {
+        return !(hold && body.find("vm-000001") != std::string::npos &&
+                 body.find("leader") != std::string::npos);
+    };
+    hold = true;
+    ASSERT_EQ(s.call(1 - first, "POST", "/v2/runs", job_body("job-1")).status, 201);
+    s.hello(w, first);
+    ASSERT_FALSE(s.state.late.empty()) << "the placement's transaction is on its way";
+    EXPECT_FALSE(w.find("job-1/0")) << "nothing is launched before its commit";
+    s.kill(first);
+    hold = false;
+    ASSERT_TRUE(s.until([&] { return s.leader() == 1 - first; }, 15));
+    std::string before = s.state.rows.at("j/job-1").data;
+    for (const auto& body : s.state.late) EXPECT_EQ(s.state.apply(body).status, 409);
+    EXPECT_EQ(s.state.rows.at("j/job-1").data, before);
+    s.settle(w);
+    s.hello(w, s.leader());
+    EXPECT_TRUE(w.find("job-1/0")) << "the new leader starts it";
+}
+
+// The user withdraws while the machine reports the last task done: one of the two wins, and it stays so.
+TEST(Controller, AWithdrawalRacingTheEndGetsOneLastingAnswer) {
+    for (bool withdraw_first : {true, false}) {
+        Site s;
+        s.start(0);
+        ASSERT_TRUE(s.until([&] { return s.leader() == 0; }));
+        s.run(1);
+        FakeWorker w;
+        s.settle(w);
+        ASSERT_EQ(s.call(0, "POST", "/v2/runs", job_body("job-1")).status, 201);
+        s.hello(w, 0);
+        s.hello(w, 0);
+        ASSERT_TRUE(w.find("job-1/0"));
+        w.find("job-1/0")->phase = TaskPhase::kExited;
+        w.find("job-1/0")->cause = ExitCause::kDone;
+        // The leader's transaction is lost on its way, and carried out late.
+        bool lose = withdraw_first;
+        s.state.let_through = [&](const std::string& body) {
+            return !(lose && body.find("leader") != std::string::npos);
+        };
+        s.hello(w, 0);
+        std::string told = phase_of(s.call(0, "POST", "/v2/runs/job-1/withdraw"));
+        EXPECT_EQ(told, withdraw_first ? "withdrawn" : "done");
+        lose = false;
+        for (const auto& body : s.state.late) s.state.apply(body);
+        for (int i = 0; i < 5; ++i) {
+            s.run(1);
+            EXPECT_EQ(phase_of(s.call(0, "GET", "/v2/runs/job-1")), told);
+        }
+        EXPECT_TRUE(s.state.rows.count("f/job-1"));
+        EXPECT_FALSE(s.state.rows.count("j/job-1"));
+    }
+}
+
+// Without the state service a leader cannot learn of withdrawals. It renews workers' leases only while none
+// older than cancel_s - lease_s can be missing, and longer only while all siblings vouch that none was told.
+TEST(Controller, RenewsWithoutTheStateServiceOnlyAsLongAsItMay) {
+    Site s(2);
+    s.start(0);
+    s.start(1);
+    ASSERT_TRUE(s.until([&] { return s.leader() >= 0; }));
+    int first = s.leader();
+    s.run(6);
+    FakeWorker w;
+    s.settle(w);
+    s.state.down = true;
+    // Reports every 3 s for so long; the last status.
+    auto report = [&](Seconds time) {
+        int status = 0;
+        for (Seconds t = 0; t < time; t += 3) {
+            s.run(3);
+            status = s.hello(w, first);
+        }
+        return status;
+    };
+    EXPECT_EQ(report(60), 200) << "the sibling vouches";
+    s.kill(1 - first);
+    EXPECT_EQ(report(12), 200) << "within the span";
+    EXPECT_EQ(report(21), 503) << "nobody vouches any more";
+    s.start(1 - first);
+    EXPECT_EQ(report(6), 503) << "a restarted sibling does not know what it told before";
+    s.state.down = false;
+    EXPECT_EQ(report(9), 200);
+}
+
+// A worker that was pointed to the leader and comes back could not reach it: its report is passed on.
+TEST(Controller, RelaysReportsOfWorkersThatCannotReachTheLeader) {
+    Site s(2);
+    s.start(0);
+    s.start(1);
+    ASSERT_TRUE(s.until([&] { return s.leader() >= 0; }));
+    int other = 1 - s.leader();
+    s.run(3);
+    FakeWorker w;
+    EXPECT_EQ(s.hello(w, other), 421);
+    s.run(5);
+    EXPECT_EQ(s.hello(w, other), 200);
+    EXPECT_EQ(w.epoch, s.nodes[static_cast<size_t>(s.leader())]->election().epoch());
+}
+
+TEST(Controller, DeletesAnUnreachableMachineBeforeItsTasksStartElsewhere) {
+    Site s;
+    s.start(0);
+    ASSERT_TRUE(s.until([&] { return s.leader() == 0; }));
+    s.run(1);
+    FakeWorker w1, w2;
+    w2.name = "vm-000002";
+    s.settle(w1);
+    ASSERT_EQ(s.call(0, "POST", "/v2/runs", job_body("job-1")).status, 201);
+    s.hello(w1, 0);
+    s.hello(w1, 0);
+    ASSERT_TRUE(w1.find("job-1/0"));
+    s.cloud.down = true;
+    for (int i = 0; i < 10; ++i) {
+        s.run(3);
+        s.hello(w2, 0);
+        EXPECT_FALSE(w2.find("job-1/0")) << "the first machine may still run it";
+    }
+    s.cloud.down = false;
+    for (int i = 0; i < 4; ++i) {
+        s.run(3);
+        s.hello(w2, 0);
+    }
+    EXPECT_EQ(std::count(s.cloud.deleted.begin(), s.cloud.deleted.end(), "vm-000001"), 1);
+    EXPECT_TRUE(w2.find("job-1/0"));
+}
+
+TEST(Controller, StartsFromKeptMachineTypesWhileTheCloudIsAway) {
+    Site s;
+    s.start(0);
+    ASSERT_TRUE(s.until([&] { return s.leader() == 0; }));
+    s.run(3);
+    s.kill(0);
+    s.cloud.down = true;
+    s.start(0);
+    ASSERT_TRUE(s.until([&] { return s.call(0, "GET", "/ready").status == 200; }, 10));
+    EXPECT_EQ(s.call(0, "POST", "/v2/runs", job_body("job-1")).status, 201);
+}
--- /dev/null
+++ b/tests/lifecycle_test.cc
@@ -0,0 +1,394 @@
+// Jobs, placements and matching, without I/O: each test is a way in which a rule could be broken.
+#include <gtest/gtest.h>
+
+#include "fleet/plan.h"
+#include "match/match.h"
+#include "standins.h"
+
+using namespace hareshore;
+
+namespace {
+
+struct Lifecycle : testing::Test {
+    Config config;
+    Settings settings;
+    Cluster cluster;
+    JobTable jobs;
+    Seconds now = 100;
+
+    Lifecycle() {
+        config.zones = {"a", "b"};
+        Team t;
+        t.name = "team";
+        t.gpus_max = 4;
+        config.teams = {t};
+        config.report_s = 3;
+        config.lease_s = 24;
+        config.value_bytes = 8192;
+        cluster.flavors = {test::small_flavor()};
+    }
+
+    JobSpec spec(const std::string& id, uint32_t tasks, Shape shape = Shape::kArray) {
+        JobSpec s;
+        s.id = id;
+        s.team = "team";
+        s.shape = shape;
+        s.tasks = tasks;
+        s.cpus = 4;
+        s.gpus = 1;
+        s.memory_gb = 8;
+        s.image = "img-" + id;
+        s.image_gb = 2;
+        s.checkpoint_s = 10;
+        s.save_s = 2;
+        return s;
+    }
+    Job& add(JobSpec s, std::map<uint32_t, Bound> live = {}) {
+        JobRecord r;
+        r.spec = std::move(s);
+        r.live = std::move(live);
+        r.next_attempt = r.live.empty() ? 1 : 10;
+        Job& j = jobs.load(r, 5, now, 0);
+        j.accepted = now;
+        for (const auto& [task, b] : r.live) cluster.ensure(b.host, now).zone = b.zone;
+        return j;
+    }
+    Host& machine(const std::string& name, const std::string& zone = "a") {
+        Host& h = cluster.ensure(name, now);
+        h.zone = zone;
+        h.flavor = "g2";
+        Report r = report(h, {});
+        h.reported = h.current = true;
+        jobs.apply(cluster, h, r, true, now);
+        return h;
+    }
+    Report report(const Host& h, std::vector<ReportedTask> tasks) {
+        Report r;
+        r.host = h.name;
+        r.zone = h.zone;
+        r.flavor = "g2";
+        r.session = 1;
+        r.seq = h.seq + 1;
+        r.tasks = std::move(tasks);
+        return r;
+    }
+    static ReportedTask task(const std::string& job, uint32_t n, uint64_t attempt, TaskPhase p,
+                             ExitCause c = ExitCause::kNone) {
+        return {{job, n}, attempt, p, c, false};
+    }
+    std::vector<Binding> pull(std::vector<Host*> askers) {
+        for (auto& [n, h] : cluster.hosts) h->last_report = now;
+        cluster.recount(jobs, now, 6);
+        MatchInput in{config, settings, now, std::move(askers)};
+        return match(cluster, jobs, in);
+    }
+    void committed(Job& j) { j.committed = j.version; }
+    static size_t launches(const std::vector<Order>& o) {
+        return static_cast<size_t>(
+            std::count_if(o.begin(), o.end(), [](auto& x) { return x.verb == Verb::kLaunch; }));
+    }
+};
+
+}  // namespace
+
+TEST_F(Lifecycle, LaunchesOnlyWhatIsCommitted) {
+    Job& j = add(spec("job-1", 1));
+    Host& h = machine("vm-1");
+    ASSERT_EQ(pull({&h}).size(), 1u);
+    EXPECT_TRUE(jobs.awaits_commit(h));
+    EXPECT_EQ(launches(jobs.orders(h, true)), 0u);
+    committed(j);
+    EXPECT_EQ(launches(jobs.orders(h, false)), 0u) << "a direct command carries no launch";
+    EXPECT_EQ(launches(jobs.orders(h, true)), 1u);
+}
+
+// The response with the launch is lost: the next report does not list the task, and it is sent again with
+// the same attempt. The task stays bound to this machine all the while.
+TEST_F(Lifecycle, RepeatsALaunchWhoseResponseWasLost) {
+    Job& j = add(spec("job-1", 1));
+    Host& h = machine("vm-1");
+    pull({&h});
+    committed(j);
+    auto first = jobs.orders(h, true);
+    jobs.apply(cluster, h, report(h, {}), true, now += 3);
+    ASSERT_EQ(j.live.size(), 1u);
+    auto second = jobs.orders(h, true);
+    ASSERT_EQ(launches(second), 1u);
+    EXPECT_EQ(first[0].attempt, second[0].attempt);
+}
+
+// A report that was sent before the launch says nothing about it, however late it comes; and the answer
+// of a direct command proves no absence, since a response may still carry the launch.
+TEST_F(Lifecycle, LateReportsDisproveNothing) {
+    Job& j = add(spec("job-1", 1));
+    Host& h = machine("vm-1");
+    pull({&h});
+    committed(j);
+    jobs.orders(h, true);
+    Report late = report(h, {});
+    late.seq = h.seq;  // the report that was answered with the launch
+    EXPECT_FALSE(late.newer_than(h.session, h.seq));
+    jobs.apply(cluster, h, report(h, {task("job-1", 0, 1, TaskPhase::kRunning)}), true, now += 3);
+    jobs.apply(cluster, h, report(h, {}), false, now += 1);
+    EXPECT_EQ(j.live.size(), 1u);
+}
+
+// After a take-over a placement counts until a report from a machine that has seen the new epoch lacks it:
+// before that, the last leader's launch may still arrive.
+TEST_F(Lifecycle, InheritedPlacementsStayUntilDisproved) {
+    Job& j = add(spec("job-1", 1), {{0, {3, "vm-1", "a"}}});
+    Host& h = cluster.ensure("vm-1", now);
+    h.flavor = "g2";
+    jobs.apply(cluster, h, report(h, {}), false, now);  // has not seen the epoch
+    EXPECT_EQ(j.live.size(), 1u);
+    Host& other = machine("vm-2");
+    EXPECT_TRUE(pull({&other}).empty());
+    jobs.apply(cluster, h, report(h, {}), true, now);
+    // Never seen on the machine: it is launched there, still the same attempt on the same machine.
+    auto orders = jobs.orders(h, true);
+    ASSERT_EQ(launches(orders), 1u);
+    EXPECT_EQ(orders[0].attempt, 3u);
+    EXPECT_TRUE(pull({&other}).empty());
+}
+
+TEST_F(Lifecycle, NoTimeoutFreesAPlacementOnlyTheDeletionDoes) {
+    Job& j = add(spec("job-1", 1), {{0, {3, "vm-1", "a"}}});
+    Host& other = machine("vm-2");
+    now += 100000;
+    EXPECT_TRUE(pull({&other}).empty());
+    jobs.host_gone("vm-1", now);
+    EXPECT_EQ(j.live.size(), 0u);
+    EXPECT_EQ(pull({&other}).size(), 1u);
+    EXPECT_GT(j.live.at(0).attempt, 3u);
+}
+
+// Launch after forget: the exit is committed first, and the next start has another attempt.
+TEST_F(Lifecycle, ForgetsOnlyWhatIsCommittedAndNeverReusesAnAttempt) {
+    Job& j = add(spec("job-1", 1));
+    Host& h = machine("vm-1");
+    pull({&h});
+    committed(j);
+    jobs.orders(h, true);
+    auto exited = task("job-1", 0, 1, TaskPhase::kExited, ExitCause::kError);
+    jobs.apply(cluster, h, report(h, {exited}), true, now += 3);
+    EXPECT_TRUE(jobs.orders(h, true).empty()) << "the exit is not committed yet";
+    committed(j);
+    auto o = jobs.orders(h, true);
+    ASSERT_EQ(o.size(), 1u);
+    EXPECT_EQ(o[0].verb, Verb::kForget);
+    Host& other = machine("vm-2");
+    now += 30;
+    ASSERT_EQ(pull({&other}).size(), 1u);
+    EXPECT_EQ(j.live.at(0).attempt, 2u);
+}
+
+TEST_F(Lifecycle, CountsInheritedPlacementsAgainstTheTeamsLimit) {
+    add(spec("job-1", 3), {{0, {1, "vm-8", "a"}}, {1, {1, "vm-8", "a"}}, {2, {1, "vm-9", "a"}}});
+    add(spec("job-2", 4));
+    Host& h = machine("vm-1");
+    EXPECT_EQ(pull({&h}).size(), 1u) << "three of four GPUs are in use on machines not heard of yet";
+}
+
+TEST_F(Lifecycle, KeepsAJobInTheZoneOfItsInheritedPlacements) {
+    JobSpec s = spec("job-1", 3);
+    s.one_zone = true;
+    add(s, {{0, {1, "vm-8", "a"}}});
+    Host& b = machine("vm-1", "b");
+    EXPECT_TRUE(pull({&b}).empty());
+    Host& a = machine("vm-2", "a");
+    EXPECT_EQ(pull({&a}).size(), 2u);
+}
+
+TEST_F(Lifecycle, PutsAtMostHalfRoundedUpIntoAZone) {
+    config.teams[0].gpus_max = 0;
+    JobSpec s = spec("job-1", 5);
+    s.apart = true;
+    add(s);
+    Host &x = machine("vm-1"), &y = machine("vm-2");
+    EXPECT_EQ(pull({&x, &y}).size(), 3u);
+}
+
+TEST_F(Lifecycle, StartsAGangOnlyWithRoomForAllTasks) {
+    Job& g = add(spec("job-1", 4, Shape::kGang));
+    Host& x = machine("vm-1");
+    EXPECT_TRUE(pull({&x}).empty());
+    EXPECT_EQ(g.why, Wait::kGangRoom);
+    machine("vm-2");
+    EXPECT_EQ(pull({&x}).size(), 4u);
+    std::set<uint64_t> attempts;
+    for (auto& [n, p] : g.live) attempts.insert(p.attempt);
+    EXPECT_EQ(attempts.size(), 1u) << "tasks of a gang find each other by their attempt";
+}
+
+// Until the last task of the old attempt has exited, no task of the gang may start anywhere.
+TEST_F(Lifecycle, RestartsAGangOnlyWhenItsLastAttemptIsGone) {
+    Job& g = add(spec("job-1", 2, Shape::kGang));
+    Host &x = machine("vm-1"), &y = machine("vm-2");
+    x.free = {};
+    ASSERT_EQ(pull({&x}).size(), 2u);
+    committed(g);
+    Host& h = *cluster.host(g.live.at(0).host);
+    auto t0 = task("job-1", 0, 1, TaskPhase::kRunning), t1 = task("job-1", 1, 1, TaskPhase::kRunning);
+    jobs.apply(cluster, h, report(h, {t0, t1}), true, now += 3);
+    EXPECT_TRUE(g.started);
+    t0.phase = TaskPhase::kExited;
+    t0.cause = ExitCause::kPeersGone;
+    jobs.apply(cluster, h, report(h, {t0, t1}), true, now += 3);
+    EXPECT_TRUE(pull({&x, &y}).empty());
+    EXPECT_EQ(g.why, Wait::kOldAttempt);
+    auto o = jobs.orders(h, true);
+    EXPECT_TRUE(std::any_of(o.begin(), o.end(), [](auto& k) { return k.verb == Verb::kHalt; }));
+    t1.phase = TaskPhase::kExited;
+    t1.cause = ExitCause::kStopped;
+    jobs.apply(cluster, h, report(h, {t0, t1}), true, now += 3);
+    EXPECT_EQ(pull({&x, &y}).size(), 2u);
+    EXPECT_EQ(g.live.at(0).attempt, 2u);
+}
+
+TEST_F(Lifecycle, AGangIsDoneWithItsFirstDoneTaskAndStillTakesRoomUntilReported) {
+    Job& g = add(spec("job-1", 2, Shape::kGang));
+    Host &x = machine("vm-1"), &y = machine("vm-2");
+    pull({&x});
+    committed(g);
+    Host& h = *cluster.host(g.live.at(0).host);
+    Host& other = &h == &x ? y : x;
+    jobs.apply(
+        cluster, h,
+        report(h, {task("job-1", 0, 1, TaskPhase::kRunning), task("job-1", 1, 1, TaskPhase::kRunning)}), true,
+        now);
+    jobs.apply(cluster, h,
+               report(h, {task("job-1", 0, 1, TaskPhase::kExited, ExitCause::kDone),
+                          task("job-1", 1, 1, TaskPhase::kRunning)}),
+               true, now += 3);
+    EXPECT_TRUE(g.over());
+    cluster.recount(jobs, now, 6);
+    EXPECT_EQ(cluster.teams["team"].gpus, 1.0);
+    (void)other;
+}
+
+// A task that nothing vouches for is halted, and its job does not start it elsewhere meanwhile.
+TEST_F(Lifecycle, HaltsStraysAndStartsNothingBesideThem) {
+    add(spec("job-1", 1));
+    Host &x = machine("vm-1"), &y = machine("vm-2");
+    jobs.apply(
+        cluster, x,
+        report(x, {task("job-1", 0, 77, TaskPhase::kRunning), task("job-9", 0, 1, TaskPhase::kRunning)}),
+        true, now);
+    EXPECT_TRUE(pull({&y}).empty());
+    auto o = jobs.orders(x, true);
+    ASSERT_EQ(o.size(), 2u);
+    EXPECT_EQ(o[0].verb, Verb::kHalt);
+    EXPECT_EQ(o[1].verb, Verb::kHalt);
+}
+
+TEST_F(Lifecycle, AWithdrawnJobIsLaunchedNowhereAndHaltedEverywhere) {
+    Job& j = add(spec("job-1", 3));
+    Host& h = machine("vm-1");
+    ASSERT_EQ(pull({&h}).size(), 2u);
+    committed(j);
+    jobs.orders(h, true);
+    jobs.withdraw(j, now);
+    EXPECT_TRUE(pull({&h}).empty());
+    EXPECT_EQ(launches(jobs.orders(h, true)), 0u);
+    // The launch was in flight and took effect.
+    jobs.apply(cluster, h, report(h, {task("job-1", 0, 1, TaskPhase::kRunning)}), true, now += 3);
+    auto o = jobs.orders(h, true);
+    ASSERT_EQ(o.size(), 1u);
+    EXPECT_EQ(o[0].verb, Verb::kHalt);
+    EXPECT_EQ(o[0].grace_s, 0);
+}
+
+TEST_F(Lifecycle, TellsFaultyMachinesFromFaultyJobs) {
+    config.teams[0].gpus_max = 0;
+    Host& bad = machine("vm-1");
+    auto fail = [&](Host& h, const std::string& id) {
+        Job& j = jobs.find(id) ? *jobs.find(id) : add(spec(id, 1));
+        h.tasks.clear();
+        jobs.bind(j, 0, h, j.next_attempt++, now);
+        committed(j);
+        jobs.apply(cluster, h,
+                   report(h, {task(id, 0, j.live.at(0).attempt, TaskPhase::kExited, ExitCause::kError)}),
+                   true, now);
+    };
+    fail(bad, "job-1");
+    EXPECT_FALSE(bad.condemned) << "one failure says little";
+    fail(bad, "job-2");
+    EXPECT_TRUE(bad.condemned);
+    // One job that fails everywhere costs no machine.
+    for (const char* m : {"vm-2", "vm-3", "vm-4", "vm-5"}) {
+        Host& h = machine(m);
+        fail(h, "job-7");
+        EXPECT_FALSE(h.condemned);
+    }
+    EXPECT_TRUE(jobs.find("job-7")->blamed);
+    EXPECT_GT(jobs.find("job-7")->not_before, now);
+}
+
+TEST_F(Lifecycle, WaitsBrieflyForAnIdleHolderOfTheImage) {
+    Job& j = add(spec("job-1", 1));
+    Host &asker = machine("vm-1"), &holder = machine("vm-2");
+    holder.cache.set_capacity(50);
+    holder.cache.use(j.spec.image, 2);
+    EXPECT_TRUE(pull({&asker}).empty());
+    EXPECT_EQ(j.why, Wait::kHeldForImage);
+    now += settings.hold_s + 0.1;
+    EXPECT_EQ(pull({&asker}).size(), 1u) << "not for ever";
+}
+
+TEST_F(Lifecycle, PrefersTheLargerCachedImageAmongTasksOfSimilarAge) {
+    add(spec("job-1", 1));
+    JobSpec big = spec("job-2", 1);
+    big.image_gb = 9;
+    now += 1;
+    add(big);
+    Host& h = machine("vm-1");
+    h.cache.set_capacity(50);
+    h.cache.use("img-job-1", 2);
+    h.cache.use("img-job-2", 9);
+    auto b = pull({&h});
+    ASSERT_EQ(b.size(), 2u);
+    EXPECT_EQ(b[0].job->spec.id, "job-2");
+}
+
+TEST(ImageCache, DropsTheLeastRecentlyUsed) {
+    ImageCache c(10);
+    c.use("a", 4);
+    c.use("b", 4);
+    c.use("a", 4);
+    c.use("c", 4);
+    EXPECT_TRUE(c.has("a"));
+    EXPECT_FALSE(c.has("b"));
+    EXPECT_TRUE(c.has("c"));
+}
+
+// Deciding about a job of 100,000 waiting tasks costs what its machines cost, not what its tasks cost; and
+// its record stays within the state service's limit for a value.
+TEST_F(Lifecycle, AHugeJobCostsNoMoreThanItsMachines) {
+    config.teams[0].gpus_max = 0;
+    Job& j = add(spec("job-1", 100'000));
+    std::vector<Host*> hosts;
+    for (int i = 0; i < 40; ++i) hosts.push_back(&machine("vm-" + std::to_string(100 + i)));
+    EXPECT_EQ(pull(hosts).size(), 80u);
+    EXPECT_LE(j.pending.pieces(), 1u);
+    EXPECT_LT(j.record().pack().size(), config.value_bytes);
+    settings.max_machines = 60;
+    FleetInput in{config, settings, now, now, {}, {}, true, false};
+    auto plan = plan_fleet(cluster, jobs, in);
+    int number = 0;
+    for (auto& r : plan.rent) number += r.number;
+    EXPECT_EQ(number, 80) << "up to the most machines in each of two zones, and not one a task";
+}
+
+TEST_F(Lifecycle, ReturnsSilentMachinesUnlessManyFallSilentAtOnce) {
+    for (int i = 0; i < 6; ++i) machine("vm-" + std::to_string(i)).last_report = now;
+    Seconds then = now;
+    now += 15;
+    auto silent = [&](int n) {
+        for (int i = 0; i < 6; ++i) cluster.host("vm-" + std::to_string(i))->last_report = i < n ? then : now;
+        cluster.recount(jobs, now, 6);
+        FleetInput in{config, settings, now, then, {}, {}, true, false};
+        return plan_fleet(cluster, jobs, in).give_back.size();
+    };
+    EXPECT_EQ(silent(1), 1u);
+    EXPECT_EQ(silent(5), 0u) << "more likely the controller is cut off";
+}
--- /dev/null
+++ b/tests/standins.cc
@@ -0,0 +1,401 @@
+#include "standins.h"
+
+#include "base/log.h"
+
+namespace hareshore::test {
+
+namespace {
+
+std::string repack(const Node& n) {
+    msgpack::sbuffer b;
+    msgpack::pack(b, *n.raw());
+    return {b.data(), b.size()};
+}
+
+Response packed(int status, Packer& p) {
+    return {status, p.take(), 0, "application/msgpack"};
+}
+
+}  // namespace
+
+std::string FakeState::query(const Request& r, const std::string& name) {
+    auto at = ("&" + r.query).find("&" + name + "=");
+    if (at == std::string::npos) return "";
+    std::string rest = r.query.substr(at + name.size() + 1);
+    return rest.substr(0, rest.find('&'));
+}
+
+void FakeState::expire() {
+    std::vector<uint64_t> ended;
+    for (auto& [id, l] : leases_)
+        if (l.second < loop_.now()) ended.push_back(id);
+    for (uint64_t id : ended) end_lease(id);
+}
+
+void FakeState::end_lease(uint64_t id) {
+    leases_.erase(id);
+    bool any = false;
+    for (auto it = rows.begin(); it != rows.end();) {
+        if (it->second.lease != id) {
+            ++it;
+            continue;
+        }
+        if (!any) ++tide;
+        any = true;
+        events_.push_back({it->first, true, "", tide});
+        it = rows.erase(it);
+    }
+    if (any) news_.notify();
+}
+
+Response FakeState::apply(const std::string& body) {
+    auto m = Message::parse(body);
+    Node when = m->root()["when"], writes = m->root()["writes"];
+    Packer p;
+    std::vector<std::string> failed;
+    for (size_t i = 0; i < when.size(); ++i) {
+        std::string k = *when.at(i)["k"].text();
+        auto it = rows.find(k);
+        if ((it == rows.end() ? 0 : it->second.stamp) != *when.at(i)["stamp"].count()) failed.push_back(k);
+    }
+    for (size_t i = 0; i < writes.size(); ++i) {
+        uint64_t lease = writes.at(i)["mooring"].count_or(0);
+        if (lease && !leases_.count(lease)) return {400, "", 0, "application/msgpack"};
+    }
+    if (!failed.empty()) {
+        p.map(2).key("failed").list(failed.size());
+        for (const auto& k : failed) p.text(k);
+        p.key("tide").count(tide);
+        return packed(409, p);
+    }
+    if (writes.size() > 0) ++tide;
+    for (size_t i = 0; i < writes.size(); ++i) {
+        Node w = writes.at(i);
+        ++puts;
+        if (auto k = w["put"].text()) {
+            rows[*k] = {repack(w["data"]), tide, w["mooring"].count_or(0)};
+            events_.push_back({*k, false, rows[*k].data, tide});
+        } else {
+            rows.erase(*w["drop"].text());
+            events_.push_back({*w["drop"].text(), true, "", tide});
+        }
+    }
+    news_.notify();
+    p.map(1).key("tide").count(tide);
+    return packed(200, p);
+}
+
+Task<Response> FakeState::handle(Request r) {
+    if (down && r.path != "/changes") co_return Response{503, "", 0, ""};
+    expire();
+    Packer p;
+    if (r.path == "/txn") {
+        if (let_through && !let_through(r.body)) {
+            late.push_back(r.body);
+            co_await loop_.sleep(1e6);
+        }
+        co_return apply(r.body);
+    }
+    if (r.path == "/leases") {
+        Seconds ttl = static_cast<double>(*Message::parse(r.body)->root()["ttl_ms"].count()) / 1000;
+        leases_[next_lease_] = {ttl, loop_.now() + ttl};
+        p.map(1).key("mooring").count(next_lease_++);
+        co_return packed(200, p);
+    }
+    if (r.path.rfind("/leases/", 0) == 0) {
+        uint64_t id = std::stoull(r.path.substr(8));
+        auto it = leases_.find(id);
+        if (it == leases_.end()) co_return Response{404, "", 0, ""};
+        if (r.method == "DELETE") {
+            end_lease(id);
+        } else {
+            it->second.second = loop_.now() + it->second.first;
+        }
+        co_return Response{200, "", 0, ""};
+    }
+    if (r.path == "/changes") {
+        std::string prefix = query(r, "prefix");
+        uint64_t from = std::stoull(query(r, "from"));
+        Seconds end = loop_.now() + std::stod(query(r, "wait_ms")) / 1000;
+        while (true) {
+            expire();
+            std::vector<const Event*> found;
+            for (const auto& e : events_)
+                if (e.stamp > from && e.key.rfind(prefix, 0) == 0) found.push_back(&e);
+            if (!down && (!found.empty() || loop_.now() >= end)) {
+                p.map(2).key("tide").count(tide).key("news").list(found.size());
+                for (auto* e : found) {
+                    p.map(e->drop ? 2 : 3)
+                        .key(e->drop ? "drop" : "put")
+                        .text(e->key)
+                        .key("stamp")
+                        .count(e->stamp);
+                    if (!e->drop) p.key("data").raw(e->data);
+                }
+                co_return packed(200, p);
+            }
+            co_await loop_.wait(news_, std::min(std::max(end, loop_.now() + 0.1), loop_.now() + 0.5));
+        }
+    }
+    if (r.path == "/keys") {
+        std::string prefix = query(r, "prefix"), from = query(r, "from");
+        std::vector<std::pair<std::string, const Row*>> found;
+        for (const auto& [k, row] : rows)
+            if (k.rfind(prefix, 0) == 0 && k > from) found.emplace_back(k, &row);
+        p.map(3).key("rows").list(found.size());
+        for (auto& [k, row] : found)
+            p.map(3).key("k").text(k).key("data").raw(row->data).key("stamp").count(row->stamp);
+        p.key("has_next").flag(false).key("tide").count(tide);
+        co_return packed(200, p);
+    }
+    auto it = rows.find(r.path.substr(6));
+    if (it == rows.end()) {
+        p.map(1).key("tide").count(tide);
+        co_return packed(404, p);
+    }
+    p.map(4).key("k").text(it->first).key("data").raw(it->second.data).key("stamp").count(it->second.stamp);
+    p.key("mooring").count(it->second.lease);
+    co_return packed(200, p);
+}
+
+Task<Response> FakeCloud::handle(Request r) {
+    Packer p;
+    if (down) {
+        p.map(1).key("error").text("trouble");
+        co_return packed(503, p);
+    }
+    if (r.path == "/flavors") co_return Response{200, Cloud::pack_flavors(flavors), 0, ""};
+    if (r.path == "/hosts/delete") {
+        auto m = Message::parse(r.body);
+        for (size_t i = 0; i < m->root()["hosts"].size(); ++i) {
+            std::string name = *m->root()["hosts"].at(i).text();
+            deleted.push_back(name);
+            machines.erase(name);
+        }
+        co_return Response{200, "", 0, ""};
+    }
+    if (r.method == "POST") {
+        ++rentals;
+        p.map(1).key("error").text("no capacity");
+        co_return packed(503, p);
+    }
+    p.map(2).key("hosts").list(machines.size());
+    for (const auto& [name, m] : machines) {
+        p.map(7).key("ref").text(name).key("addr").text(m.addr).key("flavor").text(m.flavor).key("cove").text(
+            m.zone);
+        p.key("driftwood").flag(m.spot).key("phase").text("running").key("age_s").number(100);
+    }
+    p.key("has_next").flag(false);
+    co_return packed(200, p);
+}
+
+std::string FakeWorker::report() {
+    static const char* phases[] = {"pulling", "gathering", "running", "saving", "exited"};
+    static const char* causes[] = {"",      "done",    "stopped", "mates_gone", "incomplete",
+                                   "error", "no_room", "busy",    "unknown"};
+    Packer p;
+    p.map(10).key("host").text(name).key("addr").text(addr).key("flavor").text(flavor).key("cove").text(zone);
+    p.key("driftwood")
+        .flag(spot)
+        .key("tenure")
+        .count(session)
+        .key("tick")
+        .count(++seq)
+        .key("epoch")
+        .count(epoch);
+    p.key("warning_s").null().key("pieces").list(tasks.size());
+    for (const auto& t : tasks) {
+        p.map(4).key("piece").text(t.name.text()).key("try").count(t.attempt);
+        p.key("phase")
+            .text(phases[static_cast<int>(t.phase)])
+            .key("cause")
+            .text(causes[static_cast<int>(t.cause)]);
+    }
+    return p.take();
+}
+
+void FakeWorker::carry_out(const std::string& body) {
+    auto m = Message::parse(body);
+    ASSERT_TRUE(m);
+    uint64_t e = m->root()["epoch"].count_or(0);
+    if (e < epoch) return;  // dropped
+    epoch = e;
+    Node orders = m->root()["orders"];
+    for (size_t i = 0; i < orders.size(); ++i) {
+        std::string verb = *orders.at(i)["verb"].text();
+        auto name = *TaskName::parse(*orders.at(i)["piece"].text());
+        uint64_t attempt = *orders.at(i)["try"].count();
+        auto it = std::find_if(tasks.begin(), tasks.end(),
+                               [&](const ReportedTask& t) { return t.name == name && t.attempt == attempt; });
+        if (verb == "launch" && it == tasks.end())
+            tasks.push_back({name, attempt, TaskPhase::kRunning, ExitCause::kNone, false});
+        if (verb == "halt" && it != tasks.end()) {
+            it->phase = TaskPhase::kExited;
+            it->cause = ExitCause::kStopped;
+        }
+        if (verb == "forget" && it != tasks.end() && it->phase == TaskPhase::kExited) tasks.erase(it);
+    }
+}
+
+Task<int> FakeWorker::hello(Loop& loop, Address node) {
+    HttpClient http(loop, node, 1);
+    std::string body = report();
+    Answer a = co_await http.call("POST", "/hello", body, 4.0);
+    if (a.status == 200) carry_out(a.body);
+    co_return a.status;
+}
+
+ReportedTask* FakeWorker::find(const std::string& task) {
+    for (auto& t : tasks)
+        if (t.name.text() == task) return &t;
+    return nullptr;
+}
+
+std::string job_body(const std::string& id,
+                     const std::function<void(std::map<std::string, std::string>&)>& change) {
+    auto text = [](const std::string& s) {
+        Packer p;
+        return p.text(s).take();
+    };
+    auto number = [](double d) {
+        Packer p;
+        return p.number(d).take();
+    };
+    auto flag = [](bool b) {
+        Packer p;
+        return p.flag(b).take();
+    };
+    std::map<std::string, std::string> f{
+        {"ref", text(id)},          {"jobclass", text("c")},    {"owner", text("team")},
+        {"shape", text("sweep")},   {"rank", text("standard")}, {"pieces", number(1)},
+        {"vcpus", number(4)},       {"cards", number(1)},       {"memory_gb", number(8)},
+        {"bundle", text("img-1")},  {"size_gb", number(2)},     {"one_zone", flag(false)},
+        {"apart", flag(false)},     {"driftwood", flag(false)}, {"expect_s", number(60)},
+        {"snapshot_s", number(10)}, {"flush_s", number(2)},
+    };
+    if (change) change(f);
+    Packer p;
+    p.map(f.size());
+    for (const auto& [k, v] : f) p.key(k).raw(v);
+    return p.take();
+}
+
+Flavor small_flavor() {
+    Flavor f;
+    f.name = "g2";
+    f.cpus = 16;
+    f.gpus = 2;
+    f.memory_gb = 64;
+    f.cache_gb = 50;
+    f.fetch_gb_per_s = 1;
+    f.price = 4;
+    f.spot_price = 1;
+    f.boot_s = 30;
+    f.zones = {"a", "b"};
+    return f;
+}
+
+Site::Site(int n) {
+    setup_log(std::getenv("LOG_LEVEL") ? std::getenv("LOG_LEVEL") : "error", "test");
+    cloud.flavors = {small_flavor()};
+    for (int i = 0; i < n; ++i) {
+        Config c;
+        c.label = "node-" + std::to_string(i);
+        c.zone = "a";
+        c.listen = address(10 + i, 8080);
+        c.back = address(10 + i, 8081);
+        c.cloud = address(1, 8443);
+        c.state = address(1, 2379);
+        c.zones = {"a", "b"};
+        Team t;
+        t.name = "team";
+        t.gpus_max = 8;
+        c.teams = {t};
+        c.report_s = 3;
+        c.lease_s = 24;
+        c.gang_wait_s = 40;
+        c.gang_peer_s = 4;
+        c.cancel_s = 49;
+        c.state_rps = 200;
+        c.write_rps = 100;
+        c.value_bytes = 8192;
+        c.txn_ops = 12;
+        c.cloud_rps = 6;
+        c.list_lag_s = 6;
+        c.sockets = 200;
+        for (int k = 0; k < n; ++k)
+            if (k != i) c.siblings.push_back({"node-" + std::to_string(k), "a", address(10 + k, 8081)});
+        configs.push_back(c);
+    }
+    nodes.resize(static_cast<size_t>(n));
+}
+
+// A process's end is played by cancelling its routines; the loop then unwinds them.
+Site::~Site() {
+    for (size_t i = 0; i < nodes.size(); ++i) kill(static_cast<int>(i));
+    state.stop();
+    cloud.stop();
+    unwind(loop);
+}
+
+Controller& Site::start(int i) {
+    auto& n = nodes[static_cast<size_t>(i)];
+    n = std::make_unique<Controller>(loop, configs[static_cast<size_t>(i)], settings);
+    return *n;
+}
+
+void Site::kill(int i) {
+    auto& n = nodes[static_cast<size_t>(i)];
+    if (!n) return;
+    n->stop();
+    unwind(loop);
+    n.reset();
+}
+
+int Site::leader() const {
+    for (size_t i = 0; i < nodes.size(); ++i)
+        if (nodes[i] && nodes[i]->election().leading()) return static_cast<int>(i);
+    return -1;
+}
+
+Answer Site::call(int node, std::string method, std::string path, std::string body) {
+    Answer out;
+    bool done = false;
+    Scope scope(loop);
+    auto go = [](Loop& l, Address at, std::string m, std::string p, std::string b, Answer& o,
+                 bool& d) -> Task<void> {
+        HttpClient http(l, at, 1);
+        o = co_await http.call(std::move(m), std::move(p), std::move(b), 5.0);
+        d = true;
+    };
+    scope.spawn(go(loop, configs[static_cast<size_t>(node)].listen, std::move(method), std::move(path),
+                   std::move(body), out, done),
+                "call");
+    until([&] { return done; }, 10);
+    return out;
+}
+
+int Site::hello(FakeWorker& w, int node) {
+    int status = -1;
+    bool done = false;
+    Scope scope(loop);
+    auto go = [](Loop& l, Address at, FakeWorker& x, int& s, bool& d) -> Task<void> {
+        s = co_await x.hello(l, at);
+        d = true;
+    };
+    scope.spawn(go(loop, configs[static_cast<size_t>(node)].listen, w, status, done), "hello");
+    until([&] { return done; }, 10);
+    return status;
+}
+
+void Site::settle(FakeWorker& w) {
+    for (int i = 0; i < 20; ++i) {
+        int l = leader();
+        if (l >= 0 && hello(w, l) == 200 && w.epoch == nodes[static_cast<size_t>(l)]->election().epoch())
+            return;
+        run(0.5);
+    }
+    FAIL() << "no leader took the worker's report";
+}
+
+}  // namespace hareshore::test
--- /dev/null
+++ b/tests/standins.h
@@ -0,0 +1,144 @@
+// Stand-ins for the controllers' peers, written to the protocol: a state service, a cloud and workers
+// that do what a test's script says. They run in the test's own loop, on a fake clock.
+#pragma once
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+#include <functional>
+#include <map>
+
+#include "http/client.h"
+#include "http/server.h"
+#include "node.h"
+
+namespace hareshore::test {
+
+// Loopback addresses of this test process alone, so that tests can run side by side.
+inline Address address(int host, uint16_t port) {
+    auto pid = static_cast<uint32_t>(getpid());
+    Address a;
+    std::string text = "127." + std::to_string(1 + (pid >> 8) % 254) + "." + std::to_string(pid & 255) + "." +
+                       std::to_string(host) + ":" + std::to_string(port);
+    EXPECT_TRUE(Address::parse(text, a));
+    return a;
+}
+
+inline std::string text_of(const Address& a) {
+    const auto* b = reinterpret_cast<const uint8_t*>(&a.ip);
+    return std::to_string(b[0]) + "." + std::to_string(b[1]) + "." + std::to_string(b[2]) + "." +
+           std::to_string(b[3]) + ":" + std::to_string(a.port);
+}
+
+// Lets cancelled routines unwind.
+inline void unwind(Loop& loop) {
+    for (int i = 0; i < 30; ++i) loop.turn(0);
+}
+
+class FakeState {
+  public:
+    FakeState(Loop& loop, Address at)
+        : loop_(loop),
+          news_(loop),
+          server_(loop, at, 100, [this](Request r) { return handle(std::move(r)); }) {}
+
+    struct Row {
+        std::string data;
+        uint64_t stamp = 0, lease = 0;
+    };
+    std::map<std::string, Row> rows;
+    uint64_t tide = 1;
+    bool down = false;
+    // Called with each transaction's body before it is carried out; false: the answer is lost, and the
+    // transaction is kept in `late` instead.
+    std::function<bool(const std::string&)> let_through;
+    std::vector<std::string> late;
+    int puts = 0;
+    void stop() { server_.stop(); }
+
+    Response apply(const std::string& body);
+    void end_lease(uint64_t id);
+
+  private:
+    struct Event {
+        std::string key;
+        bool drop;
+        std::string data;
+        uint64_t stamp;
+    };
+    Task<Response> handle(Request r);
+    static std::string query(const Request& r, const std::string& name);
+    void expire();
+
+    Loop& loop_;
+    Signal news_;
+    std::map<uint64_t, std::pair<Seconds, Seconds>> leases_;  // ttl, end
+    uint64_t next_lease_ = 1;
+    std::vector<Event> events_;
+    HttpServer server_;
+};
+
+class FakeCloud {
+  public:
+    FakeCloud(Loop& loop, Address at)
+        : server_(loop, at, 20, [this](Request r) { return handle(std::move(r)); }) {}
+    std::vector<Flavor> flavors;
+    std::map<std::string, Machine> machines;
+    std::vector<std::string> deleted;
+    bool down = false;
+    int rentals = 0;
+    void stop() { server_.stop(); }
+
+  private:
+    Task<Response> handle(Request r);
+    HttpServer server_;
+};
+
+// A worker's side of the protocol, driven by the test.
+struct FakeWorker {
+    std::string name = "vm-000001", addr = "127.0.0.1:9", flavor = "g2", zone = "a";
+    bool spot = false;
+    uint64_t session = 1, seq = 0, epoch = 0;
+    std::vector<ReportedTask> tasks;
+
+    std::string report();
+    // Reports to a node and carries out what it answers; the status.
+    Task<int> hello(Loop& loop, Address node);
+    void carry_out(const std::string& body);
+    ReportedTask* find(const std::string& task);
+};
+
+std::string job_body(const std::string& id,
+                     const std::function<void(std::map<std::string, std::string>&)>& change = {});
+
+// A deployment of controllers with its stand-ins.
+class Site {
+  public:
+    explicit Site(int nodes = 1);
+    ~Site();
+    Controller& start(int i);
+    void kill(int i);
+    void run(Seconds s) {
+        loop.run_until([] { return false; }, s);
+    }
+    template <class F>
+    bool until(F done, Seconds most = 30) {
+        return loop.run_until(done, most);
+    }
+    int leader() const;  // -1: none
+    Answer call(int node, std::string method, std::string path, std::string body = "");
+    int hello(FakeWorker& w, int node);
+    // Reports to whoever leads until it is answered 200 with this epoch known.
+    void settle(FakeWorker& w);
+
+    FakeClock clock;
+    Loop loop{clock};
+    FakeState state{loop, address(1, 2379)};
+    FakeCloud cloud{loop, address(1, 8443)};
+    std::vector<Config> configs;
+    Settings settings;
+    std::vector<std::unique_ptr<Controller>> nodes;
+};
+
+Flavor small_flavor();
+
+}  // namespace hareshore::test
