Keep room for waiting gangs and preempt work that must yield

Ruled out: team limits (a few jobs only) and a lack of machines. Change: a gang keeps the free room that it waits for, stops lower work when that completes it, and work within a guarantee takes room from work beyond one.

--- a/src/config/config.h
+++ b/src/config/config.h
@@ -52,7 +52,7 @@
     int max_machines = 200;       // per zone
     int min_idle_machines = 1;    // per zone: kept ready for the next job
     Seconds idle_return_s = 50;   // a machine idle this long is returned
-    Seconds preempt_after_s = 8;  // work waits this long before it preempts
+    Seconds preempt_after_s = 0;  // work waits this long before it preempts
 
     static Settings load(const std::string& path);
     // Throws ConfigError "line 3: ..."; an unknown name or a value out of range is an error.
--- a/src/fleet/cluster.cc
+++ b/src/fleet/cluster.cc
@@ -120,13 +120,4 @@
     return !(t->gpus_max > 0 && use.gpus + n * s.gpus > t->gpus_max + kEps);
 }
 
-bool Cluster::within_guarantee(const Config& config, const JobSpec& s, uint32_t n) const {
-    const Team* t = config.team(s.team);
-    if (!t || (t->cpus <= 0 && t->gpus <= 0)) return false;
-    auto it = teams.find(s.team);
-    TeamUse use = it == teams.end() ? TeamUse{} : it->second;
-    if (t->cpus > 0 && use.cpus + n * s.cpus > t->cpus + kEps) return false;
-    return !(t->gpus > 0 && use.gpus + n * s.gpus > t->gpus + kEps);
-}
-
 }  // namespace hareshore
--- a/src/fleet/cluster.h
+++ b/src/fleet/cluster.h
@@ -105,7 +105,6 @@
     // Computes room and team use anew: placements and reported tasks both count, each task once.
     void recount(JobTable& jobs, Seconds now, Seconds silent_after);
     bool within_limit(const Config& config, const JobSpec& spec, uint32_t tasks) const;
-    bool within_guarantee(const Config& config, const JobSpec& spec, uint32_t tasks) const;
 };
 
 }  // namespace hareshore
--- a/src/fleet/plan.cc
+++ b/src/fleet/plan.cc
@@ -28,7 +28,7 @@
         judge();
         collect();
         MatchInput m{in_.config, in_.settings, in_.now, {}};
-        for (const auto& q : queue_order(cluster_, jobs_, m)) cover(*q.job);
+        for (const auto& q : queue_order(jobs_, m)) cover(*q.job);
         reserve();
         give_back_idle();
         std::map<Kind, int> wanted;
--- a/src/lead/leader.cc
+++ b/src/lead/leader.cc
@@ -424,6 +424,8 @@
         if (loop_.now() - loaded_at_ < constants::kLeaderSettle_s) continue;
         FleetInput in{config_,        settings_, loop_.now(), loaded_at_,
                       refused_until_, on_order_, true,        kind_seen_spot_only()};
+        cluster_.recount(jobs_, loop_.now(),
+                         constants::kFreshReports * config_.report_s);  // without what is kept
         FleetPlan plan = plan_fleet(cluster_, jobs_, in);
         for (auto& r : plan.rent) {
             while (r.number > 0) {
--- a/src/match/match.cc
+++ b/src/match/match.cc
@@ -4,6 +4,7 @@
 #include <tuple>
 
 #include "base/constants.h"
+#include "base/log.h"
 
 namespace hareshore {
 
@@ -26,14 +27,37 @@
     return s.tasks;
 }
 
-std::vector<Queued> queue_order(const Cluster& cluster, const JobTable& jobs, const MatchInput& in) {
+std::set<const Job*> entitled_jobs(const Config& config, const JobTable& jobs) {
+    std::map<std::string, std::vector<const Job*>> by_team;
+    for (const auto& [id, job] : jobs.all())
+        if (!job->withdrawn && !job->over()) by_team[job->spec.team].push_back(job.get());
+    std::set<const Job*> out;
+    for (auto& [name, list] : by_team) {
+        const Team* t = config.team(name);
+        if (!t || (t->cpus <= 0 && t->gpus <= 0)) continue;
+        std::sort(list.begin(), list.end(), [](const Job* a, const Job* b) {
+            return std::tie(a->accepted, a->spec.id) < std::tie(b->accepted, b->spec.id);
+        });
+        double cpus = 0, gpus = 0;
+        for (const Job* j : list) {
+            uint32_t left = j->spec.tasks - j->done.size();
+            cpus += left * j->spec.cpus;
+            gpus += left * j->spec.gpus;
+            if ((t->cpus > 0 && cpus > t->cpus) || (t->gpus > 0 && gpus > t->gpus)) break;
+            out.insert(j);
+        }
+    }
+    return out;
+}
+
+std::vector<Queued> queue_order(const JobTable& jobs, const MatchInput& in) {
     std::vector<Queued> q;
+    auto entitled = entitled_jobs(in.config, jobs);
     for (const auto& [id, job] : jobs.all()) {
         if (!job->waiting()) continue;
-        uint32_t at_once = job->spec.gang() ? static_cast<uint32_t>(job->pending.size()) : 1;
         Queued e;
         e.job = job.get();
-        e.entitled = cluster.within_guarantee(in.config, job->spec, at_once);
+        e.entitled = entitled.count(job.get()) > 0;
         e.aged = in.now - job->waiting_since > in.settings.age_bound_s;
         q.push_back(e);
     }
@@ -52,7 +76,8 @@
     Matcher(Cluster& c, JobTable& j, const MatchInput& in) : cluster_(c), jobs_(j), in_(in) {}
 
     std::vector<Binding> run() {
-        auto queue = queue_order(cluster_, jobs_, in_);
+        entitled_ = entitled_jobs(in_.config, jobs_);
+        auto queue = queue_order(jobs_, in_);
         for (auto& h : cluster_.hosts)
             if (h.second->usable) usable_.push_back(h.second.get());
         for (size_t i = 0; i < queue.size();) {
@@ -108,6 +133,9 @@
             if (q.job->spec.gang() && q.job->spec.tasks > 1 && may_start(*q.job)) place_gang(*q.job);
         for (Host* h : in_.askers)
             if (h->usable) pull(jobs, *h);
+        // What could not be placed takes room from work that must yield to it, and keeps the room that it
+        // waits for from work that comes after it.
+        for (auto& q : jobs) make_room(q);
     }
 
     // One machine asks: it gets tasks until none fits it.
@@ -224,9 +252,146 @@
         for (Host* h : best) bind(job, *job.pending.first(), *h, job.attempt);
     }
 
+    // --- preemption and reservation -------------------------------------------------------------------
+
+    struct Victim {
+        Job* job = nullptr;
+        uint32_t task = 0;
+    };
+    // What one machine can give: places that are free or being freed, and those that more victims free.
+    struct Offer {
+        Host* host = nullptr;
+        uint32_t places = 0;                     // without further victims
+        std::vector<std::vector<Victim>> steps;  // each frees one more place
+    };
+
+    bool yields(const Job& victim, const Queued& q) const {
+        if (&victim == q.job || victim.withdrawn) return false;
+        if (victim.spec.rank < q.job->spec.rank && !(entitled_.count(&victim) > 0 && !q.entitled))
+            return true;
+        return q.entitled && victim.spec.team != q.job->spec.team && entitled_.count(&victim) == 0;
+    }
+
+    Offer offer(const Queued& q, Host& h) {
+        Offer o;
+        o.host = &h;
+        Amount room = h.free;
+        std::vector<Victim> victims;
+        for (const auto& [id, task] : jobs_.on_host(h.name)) {
+            Job* v = jobs_.find(id);
+            if (!v) continue;
+            const Placement& p = v->live.at(task);
+            if (p.stopping) {
+                room += Amount::of(v->spec);
+            } else if (yields(*v, q) && (!v->spec.gang() || v->spec.tasks == 1)) {
+                victims.push_back({v, task});
+            }
+        }
+        uint32_t most = q.job->spec.tasks;
+        o.places = room.fits(q.job->spec, most);
+        // Those that lose least go first: arrays before gangs, what can save before what cannot, the
+        // lowest priority, and the latest start.
+        std::sort(victims.begin(), victims.end(), [](const Victim& a, const Victim& b) {
+            auto key = [](const Victim& v) {
+                return std::tuple(v.job->spec.gang(), v.job->spec.checkpoint_s <= 0, v.job->spec.rank,
+                                  -v.job->live.at(v.task).bound_at, v.job->spec.id, v.task);
+            };
+            return key(a) < key(b);
+        });
+        uint32_t places = o.places;
+        std::vector<Victim> step;
+        for (const Victim& v : victims) {
+            room += Amount::of(v.job->spec);
+            step.push_back(v);
+            uint32_t now = room.fits(q.job->spec, most);
+            while (now > places) {
+                o.steps.push_back(std::exchange(step, {}));
+                ++places;
+            }
+        }
+        return o;
+    }
+
+    void make_room(const Queued& q) {
+        Job& job = *q.job;
+        if (job.pending.empty() || !may_start(job)) return;
+        bool gang = job.spec.gang();
+        if (gang && !job.live.empty() && (job.started || job.broken)) return;
+        uint32_t n = job.pending.size();
+        if (!gang) {
+            // An array takes room from others only for what its team is guaranteed.
+            if (!q.entitled) return;
+        } else if (!cluster_.within_limit(in_.config, job.spec, n)) {
+            return;
+        }
+        std::vector<Offer> offers;
+        for (Host* h : usable_)
+            if (job.spec.allows(h->flavor, h->zone, h->spot) && !avoids(job, *h))
+                offers.push_back(offer(q, *h));
+        std::vector<std::string> zones = job.spec.one_zone ? in_.config.zones : std::vector<std::string>{""};
+        std::vector<std::pair<Host*, uint32_t>> best;  // places to keep on each machine
+        std::vector<Victim> best_victims;
+        bool best_whole = false;
+        uint32_t best_places = 0;
+        for (const auto& zone : zones) {
+            if (!zone.empty() && ZoneRule(job).room(zone) == 0) continue;
+            std::vector<std::pair<Host*, uint32_t>> keep;
+            std::vector<Victim> victims;
+            uint32_t left = n;
+            std::vector<std::tuple<size_t, bool, std::string, const Offer*, size_t>> more;
+            for (const Offer& o : offers) {
+                if (!zone.empty() && o.host->zone != zone) continue;
+                uint32_t k = std::min(left, o.places);
+                left -= k;
+                if (k > 0) keep.emplace_back(o.host, k);
+                for (size_t i = 0; i < o.steps.size(); ++i)
+                    more.emplace_back(o.steps[i].size(), !o.host->cache.has(job.spec.image), o.host->name, &o,
+                                      i);
+            }
+            uint32_t places = n - left;
+            // Steps of one machine are taken in order; a later one never costs less by itself.
+            std::stable_sort(more.begin(), more.end(), [](const auto& a, const auto& b) {
+                return std::tuple(std::get<0>(a), std::get<1>(a), std::get<2>(a), std::get<4>(a)) <
+                       std::tuple(std::get<0>(b), std::get<1>(b), std::get<2>(b), std::get<4>(b));
+            });
+            std::map<const Offer*, size_t> taken;
+            for (const auto& m : more) {
+                if (left == 0) break;
+                const Offer* o = std::get<3>(m);
+                for (size_t i = taken[o]; i <= std::get<4>(m) && left > 0; ++i) {
+                    victims.insert(victims.end(), o->steps[i].begin(), o->steps[i].end());
+                    keep.emplace_back(o->host, 1);
+                    taken[o] = i + 1;
+                    --left;
+                }
+            }
+            bool whole = left == 0;
+            if (best.empty() ||
+                std::tuple(!whole, whole ? victims.size() : 0, n - places) <
+                    std::tuple(!best_whole, best_whole ? best_victims.size() : 0, n - best_places)) {
+                best = std::move(keep);
+                best_victims = std::move(victims);
+                best_whole = whole;
+                best_places = places;
+            }
+        }
+        // A gang that cannot be completed stops nobody, but what is free is kept for it.
+        bool stop = (best_whole || !gang) && in_.now - job.waiting_since >= in_.settings.preempt_after_s;
+        if (stop) {
+            for (const Victim& v : best_victims) {
+                log::debug("task {}/{} is stopped for job {}", v.job->spec.id, v.task, job.spec.id);
+                jobs_.stop(*v.job, v.task, in_.now);
+            }
+        }
+        if (!gang) return;
+        for (auto& [h, k] : best)
+            for (uint32_t i = 0; i < k; ++i) h->free -= Amount::of(job.spec);
+    }
+
     Cluster& cluster_;
     JobTable& jobs_;
     const MatchInput& in_;
+    std::set<const Job*> entitled_;
     std::vector<Host*> usable_;
     std::vector<Binding> bound_;
 };
--- a/src/match/match.h
+++ b/src/match/match.h
@@ -22,8 +22,12 @@
 };
 
 // Binds tasks in the table and takes their room from the machines; Cluster::recount() must be current.
+// Where a job may take room from others, their tasks are told to stop in the table.
 std::vector<Binding> match(Cluster& cluster, JobTable& jobs, const MatchInput& in);
 
+// Jobs that fit into their team's guarantee together with the team's earlier unfinished jobs.
+std::set<const Job*> entitled_jobs(const Config& config, const JobTable& jobs);
+
 // The waiting jobs in the order in which they are served: work within a guarantee first, then by
 // priority, aged jobs before others, oldest first.
 struct Queued {
@@ -31,7 +35,7 @@
     bool entitled = false;
     bool aged = false;
 };
-std::vector<Queued> queue_order(const Cluster& cluster, const JobTable& jobs, const MatchInput& in);
+std::vector<Queued> queue_order(const JobTable& jobs, const MatchInput& in);
 
 // The zones in which tasks of the job may start now, and how many more in each.
 class ZoneRule {
