--- a/src/config/config.h
+++ b/src/config/config.h
@@ -50,8 +50,8 @@
     Seconds age_bound_s = 60;     // a task that waited longer goes first
     int min_machines = 0;         // per zone: rented even without work
     int max_machines = 200;       // per zone
-    int min_idle_machines = 1;    // per zone: kept ready for the next job
-    Seconds idle_return_s = 50;   // a machine idle this long is returned
+    int min_idle_machines = 0;    // per zone: kept ready for the next job
+    Seconds idle_return_s = 20;   // a machine idle this long is returned
     Seconds preempt_after_s = 0;  // work waits this long before it preempts
 
     static Settings load(const std::string& path);
--- a/src/lead/leader.cc
+++ b/src/lead/leader.cc
@@ -446,6 +446,7 @@
         }
         if (!names.empty()) spawn(remove(std::move(names)), "return");
         log_waiting();
+        log_fleet();
     }
 }
 
@@ -509,6 +510,31 @@
     }
 }
 
+void Leader::log_fleet() {
+    if (loop_.now() - fleet_logged_ < constants::kWhyLog_s) return;
+    fleet_logged_ = loop_.now();
+    size_t booting = 0, spot = 0, idle = 0, waiting = 0, jobs = 0;
+    double gpus = 0, free = 0;
+    for (const auto& [name, h] : cluster_.hosts) {
+        const Flavor* f = cluster_.flavor(h->flavor);
+        booting += !h->reported;
+        spot += h->spot;
+        idle += h->reported && h->idle();
+        if (!f || !h->reported) continue;
+        gpus += f->gpus;
+        free += h->free.gpus;
+    }
+    for (const auto& [id, j] : jobs_.all()) {
+        if (!j->waiting()) continue;
+        ++jobs;
+        waiting += j->pending.size();
+    }
+    log::info(
+        "{} machines, {} of them spot, {} not up yet, {} idle; {:.0f} of {:.0f} GPUs taken; {} tasks of {} "
+        "jobs wait",
+        cluster_.hosts.size(), spot, booting, idle, gpus - free, gpus, waiting, jobs);
+}
+
 std::string Leader::jobs_page() const {
     std::string s;
     for (const auto& [id, j] : jobs_.all()) {
--- a/src/lead/leader.h
+++ b/src/lead/leader.h
@@ -69,6 +69,7 @@
     void finished(const std::string& id, uint64_t tide);
     void take_change(const Change& c);
     void log_waiting();
+    void log_fleet();
     bool kind_seen_spot_only() const;
 
     Loop& loop_;
@@ -96,6 +97,7 @@
     Seconds fresh_ = -1e9;  // no withdrawal before this is missing
     Seconds loaded_at_ = 0;
     uint64_t claims_ = 0;
+    Seconds fleet_logged_ = -1e9;
     Bucket writes_;
     Signal ready_, dirty_;
     Scope scope_;
