Reserve for gangs what comes free first, and lend it to short work

Cause: waiting gangs each kept free machines in other zones and none was completed; stopping tasks kept their room while saving.

--- a/src/base/constants.h
+++ b/src/base/constants.h
@@ -76,17 +76,22 @@
 inline constexpr double kFreshReports = 2.0;   // a report older than this many report_s shows no room
 
 // --- fleet ------------------------------------------------------------------------------------------
-inline constexpr double kCloudShare = 0.7;         // share of the cloud's rate that one controller uses
-inline constexpr double kLeaderSettle_s = 6.0;     // a new leader hears its workers before it rents
-inline constexpr double kFleetTick_s = 1.0;        // interval of the rental decision
-inline constexpr double kListEvery_s = 4.0;        // interval of reading the machine list
-inline constexpr double kFlavorsEvery_s = 30.0;    // interval of reading the prices
-inline constexpr double kCloudCall_s = 6.0;        // a cloud call; answers take some 250 ms
-inline constexpr double kNoCapacity_s = 12.0;      // a refused kind is not asked for again before this
-inline constexpr double kSilent_s = 11.0;          // a worker silent this long is unreachable
-inline constexpr double kBootPatience = 3.0;       // times boot_s before a booting machine is given up
-inline constexpr double kBootExtra_s = 20.0;       // added to it: lists lag
-inline constexpr double kSaveSpare_s = 3.0;        // added to the time a task needs to save
+inline constexpr double kCloudShare = 0.7;       // share of the cloud's rate that one controller uses
+inline constexpr double kLeaderSettle_s = 6.0;   // a new leader hears its workers before it rents
+inline constexpr double kFleetTick_s = 1.0;      // interval of the rental decision
+inline constexpr double kListEvery_s = 4.0;      // interval of reading the machine list
+inline constexpr double kFlavorsEvery_s = 30.0;  // interval of reading the prices
+inline constexpr double kCloudCall_s = 6.0;      // a cloud call; answers take some 250 ms
+inline constexpr double kNoCapacity_s = 12.0;    // a refused kind is not asked for again before this
+inline constexpr double kSilent_s = 11.0;        // a worker silent this long is unreachable
+inline constexpr double kBootPatience = 3.0;     // times boot_s before a booting machine is given up
+inline constexpr double kBootExtra_s = 20.0;     // added to it: lists lag
+inline constexpr double kSaveSpare_s = 3.0;      // added to the time a task needs to save
+inline constexpr double kHasteShare =
+    4.0;  // stopped without saving if checkpoints come within this many saves
+inline constexpr double kOverdueShare =
+    0.25;  // an overdue task is expected to take this share of its time again
+inline constexpr double kNoPlace_s = 3600.0;       // "not in sight" for places that nothing is known to free
 inline constexpr int kHostErrors = 2;              // failed tasks of different jobs that condemn a machine
 inline constexpr int kJobHosts = 3;                // machines a job fails on before the job is blamed
 inline constexpr double kJobBackoff_s = 10.0;      // first pause of a blamed job, doubled up to
--- a/src/fleet/cluster.cc
+++ b/src/fleet/cluster.cc
@@ -75,6 +75,8 @@
         const Flavor* f = flavor(h->flavor);
         h->free = f ? Amount{f->cpus, f->gpus, f->memory_gb} : Amount{};
         if (f) h->cache.set_capacity(f->cache_gb);
+        h->kept = {};
+        h->kept_until = 0;
         h->placed = 0;
         h->usable = f && h->current && !h->condemned && !h->deleting && h->leaves_at < 0 &&
                     (h->holding || now - h->last_report <= silent_after);
--- a/src/fleet/cluster.h
+++ b/src/fleet/cluster.h
@@ -82,7 +82,9 @@
 
     // Recounted from placements and reports.
     Amount free;
-    uint32_t placed = 0;  // live placements and reported tasks
+    Amount kept;             // of it, kept for gangs that wait
+    Seconds kept_until = 0;  // work that ends before may use it
+    uint32_t placed = 0;     // live placements and reported tasks
     bool usable = false;
 
     bool idle() const { return placed == 0; }
--- a/src/jobs/table.cc
+++ b/src/jobs/table.cc
@@ -226,9 +226,12 @@
     }
 }
 
-void JobTable::stop(Job& job, uint32_t task, Seconds now) {
-    (void)now;
+void JobTable::stop(Job& job, uint32_t task, Seconds, bool haste) {
     Seconds grace = job.spec.save_s + constants::kSaveSpare_s;
+    // On average half a checkpoint interval is lost, against a save during which the room is not free.
+    if (haste && job.spec.checkpoint_s > 0 &&
+        job.spec.checkpoint_s <= constants::kHasteShare * job.spec.save_s)
+        grace = 0;
     if (job.spec.gang()) {
         stop_gang(job, grace);
         job.broken = true;
--- a/src/jobs/table.h
+++ b/src/jobs/table.h
@@ -88,7 +88,8 @@
     Placement& bind(Job& job, uint32_t task, const Host& host, uint64_t attempt, Seconds now);
     void withdraw(Job& job, Seconds now);
     // Starts to stop a task, or the whole gang it belongs to.
-    void stop(Job& job, uint32_t task, Seconds now);
+    // With `haste` a task that checkpoints often does not save first: that would take as long as it loses.
+    void stop(Job& job, uint32_t task, Seconds now, bool haste = false);
     // Frees the placements on a machine that is confirmed to be gone.
     void host_gone(const std::string& host, Seconds now);
     // Marks the job changed; it will be written.
--- a/src/match/match.cc
+++ b/src/match/match.cc
@@ -107,8 +107,21 @@
     }
 
     bool fits(const Job& job, const Host& h) const {
-        return h.usable && job.spec.allows(h.flavor, h.zone, h.spot) && h.free.fits(job.spec, 1) > 0 &&
-               !(avoids(job, h));
+        return h.usable && job.spec.allows(h.flavor, h.zone, h.spot) && room(job, h).fits(job.spec, 1) > 0 &&
+               !avoids(job, h);
+    }
+
+    // What a job may use of a machine's room. What is kept for a gang is lent to work that is expected to
+    // be over before the gang can start.
+    Amount room(const Job& job, const Host& h) const {
+        Amount a = h.free;
+        if (h.kept.cpus <= 0 && h.kept.gpus <= 0 && h.kept.memory_gb <= 0) return a;
+        const Flavor* f = cluster_.flavor(h.flavor);
+        Seconds fetch = f && f->fetch_gb_per_s > 0 && !h.cache.has(job.spec.image)
+                            ? job.spec.image_gb / f->fetch_gb_per_s
+                            : 0;
+        if (in_.now + fetch + job.spec.estimate_s > h.kept_until) a -= h.kept;
+        return a;
     }
 
     // A job keeps away from machines it failed on, unless it is blamed itself.
@@ -203,7 +216,7 @@
         ZoneRule rule(job);
         cached = 0;
         for (Host* h : hosts) {
-            uint32_t k = h->free.fits(job.spec, n - static_cast<uint32_t>(out.size()));
+            uint32_t k = room(job, *h).fits(job.spec, n - static_cast<uint32_t>(out.size()));
             while (k > 0 && rule.room(h->zone) > 0) {
                 out.push_back(h);
                 rule.add(h->zone);
@@ -258,13 +271,23 @@
         Job* job = nullptr;
         uint32_t task = 0;
     };
-    // What one machine can give: places that are free or being freed, and those that more victims free.
+    // What one machine can give: places that are free or being freed, those that more victims free, and
+    // those that come free by themselves.
     struct Offer {
         Host* host = nullptr;
         uint32_t places = 0;                     // without further victims
         std::vector<std::vector<Victim>> steps;  // each frees one more place
+        std::vector<Seconds> later;              // when further places are expected
     };
 
+    // When a placement is expected to end. Estimates are often wrong by half: what is overdue is expected
+    // to take a part of its time again.
+    Seconds expected_end(const Job& job, const Placement& p) const {
+        Seconds since = p.running_since >= 0 ? p.running_since : in_.now;
+        Seconds spent = in_.now - since;
+        return in_.now + std::max(job.spec.estimate_s - spent, constants::kOverdueShare * spent);
+    }
+
     bool yields(const Job& victim, const Queued& q) const {
         if (&victim == q.job || victim.withdrawn) return false;
         if (victim.spec.rank < q.job->spec.rank && !(entitled_.count(&victim) > 0 && !q.entitled))
@@ -276,14 +299,19 @@
         Offer o;
         o.host = &h;
         Amount room = h.free;
+        room -= h.kept;
         std::vector<Victim> victims;
+        std::vector<std::pair<Seconds, Amount>> ends;
         for (const auto& [id, task] : jobs_.on_host(h.name)) {
             Job* v = jobs_.find(id);
             if (!v) continue;
             const Placement& p = v->live.at(task);
             if (p.stopping) {
                 room += Amount::of(v->spec);
-            } else if (yields(*v, q) && (!v->spec.gang() || v->spec.tasks == 1)) {
+                continue;
+            }
+            ends.emplace_back(expected_end(*v, p), Amount::of(v->spec));
+            if (yields(*v, q) && (!v->spec.gang() || v->spec.tasks == 1)) {
                 victims.push_back({v, task});
             }
         }
@@ -298,6 +326,12 @@
             };
             return key(a) < key(b);
         });
+        std::sort(ends.begin(), ends.end(), [](const auto& a, const auto& b) { return a.first < b.first; });
+        Amount then = room;
+        for (uint32_t k = o.places; const auto& [end, amount] : ends) {
+            then += amount;
+            for (uint32_t now = then.fits(q.job->spec, most); k < now; ++k) o.later.push_back(end);
+        }
         uint32_t places = o.places;
         std::vector<Victim> step;
         for (const Victim& v : victims) {
@@ -329,63 +363,90 @@
             if (job.spec.allows(h->flavor, h->zone, h->spot) && !avoids(job, *h))
                 offers.push_back(offer(q, *h));
         std::vector<std::string> zones = job.spec.one_zone ? in_.config.zones : std::vector<std::string>{""};
-        std::vector<std::pair<Host*, uint32_t>> best;  // places to keep on each machine
-        std::vector<Victim> best_victims;
-        bool best_whole = false;
-        uint32_t best_places = 0;
+        Room best;
         for (const auto& zone : zones) {
             if (!zone.empty() && ZoneRule(job).room(zone) == 0) continue;
-            std::vector<std::pair<Host*, uint32_t>> keep;
-            std::vector<Victim> victims;
-            uint32_t left = n;
-            std::vector<std::tuple<size_t, bool, std::string, const Offer*, size_t>> more;
-            for (const Offer& o : offers) {
-                if (!zone.empty() && o.host->zone != zone) continue;
-                uint32_t k = std::min(left, o.places);
-                left -= k;
-                if (k > 0) keep.emplace_back(o.host, k);
-                for (size_t i = 0; i < o.steps.size(); ++i)
-                    more.emplace_back(o.steps[i].size(), !o.host->cache.has(job.spec.image), o.host->name, &o,
-                                      i);
-            }
-            uint32_t places = n - left;
-            // Steps of one machine are taken in order; a later one never costs less by itself.
-            std::stable_sort(more.begin(), more.end(), [](const auto& a, const auto& b) {
-                return std::tuple(std::get<0>(a), std::get<1>(a), std::get<2>(a), std::get<4>(a)) <
-                       std::tuple(std::get<0>(b), std::get<1>(b), std::get<2>(b), std::get<4>(b));
-            });
-            std::map<const Offer*, size_t> taken;
-            for (const auto& m : more) {
-                if (left == 0) break;
-                const Offer* o = std::get<3>(m);
-                for (size_t i = taken[o]; i <= std::get<4>(m) && left > 0; ++i) {
-                    victims.insert(victims.end(), o->steps[i].begin(), o->steps[i].end());
-                    keep.emplace_back(o->host, 1);
-                    taken[o] = i + 1;
-                    --left;
-                }
-            }
-            bool whole = left == 0;
-            if (best.empty() ||
-                std::tuple(!whole, whole ? victims.size() : 0, n - places) <
-                    std::tuple(!best_whole, best_whole ? best_victims.size() : 0, n - best_places)) {
-                best = std::move(keep);
-                best_victims = std::move(victims);
-                best_whole = whole;
-                best_places = places;
-            }
+            Room r = room_in(zone, job, n, offers);
+            if (best.keep.empty() || r.better_than(best)) best = std::move(r);
         }
-        // A gang that cannot be completed stops nobody, but what is free is kept for it.
-        bool stop = (best_whole || !gang) && in_.now - job.waiting_since >= in_.settings.preempt_after_s;
+        // A gang that cannot be completed so stops nobody; it waits for what comes free by itself.
+        bool stop = (best.whole || !gang) && in_.now - job.waiting_since >= in_.settings.preempt_after_s;
         if (stop) {
-            for (const Victim& v : best_victims) {
+            for (const Victim& v : best.victims) {
                 log::debug("task {}/{} is stopped for job {}", v.job->spec.id, v.task, job.spec.id);
-                jobs_.stop(*v.job, v.task, in_.now);
+                jobs_.stop(*v.job, v.task, in_.now, true);
             }
         }
         if (!gang) return;
-        for (auto& [h, k] : best)
-            for (uint32_t i = 0; i < k; ++i) h->free -= Amount::of(job.spec);
+        for (Host* h : best.keep) {
+            h->kept += Amount::of(job.spec);
+            h->kept_until = std::max(h->kept_until, best.whole ? in_.now : best.at);
+        }
+    }
+
+    // Where the places of a job that waits could come from in one zone.
+    struct Room {
+        std::vector<Host*> keep;  // one entry a place
+        std::vector<Victim> victims;
+        bool whole = false;  // with the victims all tasks have a place
+        Seconds at = 0;      // when all have one without them
+        bool better_than(const Room& o) const {
+            return std::tuple(!whole, whole ? victims.size() : 0, at) <
+                   std::tuple(!o.whole, o.whole ? o.victims.size() : 0, o.at);
+        }
+    };
+
+    Room room_in(const std::string& zone, const Job& job, uint32_t n, const std::vector<Offer>& offers) {
+        Room r;
+        uint32_t left = n;
+        struct Step {
+            const Offer* offer;
+            size_t index;
+            auto key(const Job& j) const {
+                return std::tuple(!offer->host->cache.has(j.spec.image), offer->steps[index].size(),
+                                  offer->host->name, index);
+            }
+        };
+        std::vector<Step> steps;
+        std::vector<std::pair<Seconds, Host*>> later;
+        for (const Offer& o : offers) {
+            if (!zone.empty() && o.host->zone != zone) continue;
+            uint32_t k = std::min(left, o.places);
+            left -= k;
+            for (uint32_t i = 0; i < k; ++i) r.keep.push_back(o.host);
+            for (size_t i = 0; i < o.steps.size(); ++i) steps.push_back({&o, i});
+            for (Seconds t : o.later) later.emplace_back(t, o.host);
+        }
+        std::vector<Host*> free = r.keep;
+        uint32_t missing = left;
+        // Machines that have the image first, then those with the fewest victims. Steps of one machine are
+        // taken in order.
+        std::sort(steps.begin(), steps.end(),
+                  [&](const Step& a, const Step& b) { return a.key(job) < b.key(job); });
+        std::map<const Offer*, size_t> taken;
+        for (const Step& s : steps) {
+            for (size_t i = taken[s.offer]; i <= s.index && left > 0; ++i) {
+                const auto& v = s.offer->steps[i];
+                r.victims.insert(r.victims.end(), v.begin(), v.end());
+                r.keep.push_back(s.offer->host);
+                taken[s.offer] = i + 1;
+                --left;
+            }
+        }
+        r.whole = left == 0;
+        if (r.whole) return r;
+        // Even with victims there is not room for all: the places that come free first are kept.
+        r.keep = std::move(free);
+        std::sort(later.begin(), later.end());
+        r.at = in_.now;
+        for (const auto& [t, h] : later) {
+            if (missing == 0) break;
+            r.keep.push_back(h);
+            r.at = t;
+            --missing;
+        }
+        if (missing > 0) r.at = in_.now + constants::kNoPlace_s;
+        return r;
     }
 
     Cluster& cluster_;
