--- a/src/config/settings.cc
+++ b/src/config/settings.cc
@@ -35,6 +35,7 @@
     {"min-idle-machines", 0, 1000, [](Settings& s, double v) { s.min_idle_machines = static_cast<int>(v); },
      true},
     {"idle-return-s", 5, 86400, [](Settings& s, double v) { s.idle_return_s = v; }},
+    {"calm-s", 0, 86400, [](Settings& s, double v) { s.calm_s = v; }},
     {"preempt-after-s", 0, 3600, [](Settings& s, double v) { s.preempt_after_s = v; }},
 };
 
--- a/src/fleet/cluster.cc
+++ b/src/fleet/cluster.cc
@@ -78,7 +78,7 @@
         h->kept = {};
         h->kept_until = 0;
         h->placed = 0;
-        h->usable = f && h->current && !h->condemned && !h->deleting && h->leaves_at < 0 &&
+        h->usable = f && h->current && !h->condemned && !h->deleting && !h->emptying && h->leaves_at < 0 &&
                     (h->holding || now - h->last_report <= silent_after);
     }
     auto count = [&](Host* h, const std::string& team, const Amount& a) {
--- a/src/fleet/cluster.h
+++ b/src/fleet/cluster.h
@@ -75,6 +75,7 @@
     // Judgement.
     std::set<std::string> failed_jobs;  // jobs with a failed task since the last success
     bool condemned = false;             // to be drained and returned
+    bool emptying = false;              // its work is being moved elsewhere, then it is returned
     bool deleting = false;              // a deletion is on its way: nothing may be bound
     bool holding = false;               // a report of it is being held: an answer can go out at once
     std::string why_condemned;
--- a/src/fleet/plan.cc
+++ b/src/fleet/plan.cc
@@ -31,6 +31,7 @@
         for (const auto& q : queue_order(jobs_, m)) cover(*q.job);
         reserve();
         give_back_idle();
+        consolidate();
         std::map<Kind, int> wanted;
         for (const auto& s : slots_)
             if (s.fresh) ++wanted[s.kind];
@@ -73,6 +74,8 @@
                 give_back(*h, "it does not come up");
             } else if (h->phase == MachinePhase::kBooting && !f && quiet > patience + in_.config.lease_s) {
                 give_back(*h, "nothing is known of it");  // a record names it, the cloud does not list it
+            } else if (h->emptying && h->idle()) {
+                give_back(*h, "its work was moved");
             } else if (h->condemned && h->idle()) {
                 give_back(*h, h->why_condemned);
             }
@@ -80,7 +83,7 @@
     }
 
     bool leaving(const Host& h) const {
-        return h.deleting || h.condemned || h.leaves_at >= 0 || plan_.reasons.count(h.name) > 0;
+        return h.deleting || h.condemned || h.emptying || h.leaves_at >= 0 || plan_.reasons.count(h.name) > 0;
     }
 
     void collect() {
@@ -232,16 +235,74 @@
             });
             int spare = static_cast<int>(idle.size()) - in_.settings.min_idle_machines;
             spare = std::min(spare, in_zone_[zone] - in_.settings.min_machines);
+            Seconds patience = calm() ? constants::kCalmIdle_s : in_.settings.idle_return_s;
             for (const Slot* s : idle) {
                 if (spare <= 0) break;
-                if (in_.now - std::max(s->host->idle_since, in_.leading_since) < in_.settings.idle_return_s)
-                    continue;
+                if (in_.now - std::max(s->host->idle_since, in_.leading_since) < patience) continue;
                 give_back(*s->host, "it was idle");
                 --spare;
             }
         }
     }
 
+    // Whether a machine's work can be moved at little cost: everything on it can save, has run for a while
+    // and is expected to go on for longer than the move takes.
+    bool movable(const Host& h) const {
+        if (h.placed == 0 || !h.usable) return false;
+        size_t tasks = 0;
+        for (const auto& [id, task] : jobs_.on_host(h.name)) {
+            const Job* j = jobs_.find(id);
+            const Placement& p = j->live.at(task);
+            if (j->spec.gang() && j->spec.tasks > 1) return false;
+            if (j->spec.checkpoint_s <= 0 || p.stopping || p.running_since < 0) return false;
+            Seconds ran = in_.now - p.running_since;
+            if (ran < constants::kMoveAfter_s || j->spec.estimate_s - ran < constants::kMoveWorth_s)
+                return false;
+            ++tasks;
+        }
+        return tasks == h.placed;
+    }
+
+    // No job has come for a while: what is idle now is not likely to be needed soon.
+    bool calm() const { return in_.now - jobs_.last_arrival() > in_.settings.calm_s; }
+
+    // In a calm, when nothing waits, the work of a machine that is little used moves to where there is room.
+    // The protocol names the return of a machine as a reason to stop a task; progress is saved.
+    void consolidate() {
+        if (!calm()) return;
+        for (const auto& [id, j] : jobs_.all())
+            if (j->waiting()) return;
+        for (const auto& [name, h] : cluster_.hosts)
+            if (h->emptying) return;  // one at a time
+        std::vector<const Slot*> from;
+        for (const Slot& s : slots_)
+            if (s.host && movable(*s.host)) from.push_back(&s);
+        std::sort(from.begin(), from.end(), [](const Slot* a, const Slot* b) {
+            return std::tuple(a->kind.spot, -a->free.gpus, -a->free.cpus, a->host->name) <
+                   std::tuple(b->kind.spot, -b->free.gpus, -b->free.cpus, b->host->name);
+        });
+        for (const Slot* s : from) {
+            std::vector<Slot> others;
+            for (const Slot& o : slots_)
+                if (&o != s && o.host && o.host->usable &&
+                    (o.host->placed > 0 || (o.kind.spot && !s->kind.spot)))
+                    others.push_back(o);
+            bool all = true;
+            for (const auto& [id, task] : jobs_.on_host(s->host->name)) {
+                const JobSpec& spec = jobs_.find(id)->spec;
+                bool put_it = false;
+                for (Slot& o : others)
+                    if (!put_it && spec.allows(o.kind.flavor, o.kind.zone, o.kind.spot) &&
+                        (!spec.one_zone || spec.tasks == 1) && !spec.apart)
+                        put_it = put(o, spec, 1) > 0;
+                all = all && put_it;
+            }
+            if (!all) continue;
+            plan_.empty_out.push_back(s->host->name);
+            return;
+        }
+    }
+
     const Cluster& cluster_;
     const JobTable& jobs_;
     const FleetInput& in_;
--- a/src/fleet/plan.h
+++ b/src/fleet/plan.h
@@ -19,6 +19,7 @@
 struct FleetPlan {
     std::vector<Rental> rent;
     std::vector<std::string> give_back;
+    std::vector<std::string> empty_out;          // their tasks are to be moved, so that they can be returned
     std::map<std::string, std::string> reasons;  // by machine
 };
 
--- a/src/jobs/table.cc
+++ b/src/jobs/table.cc
@@ -66,6 +66,7 @@
         return *slot;
     }
     slot = std::make_unique<Job>();
+    last_arrival_ = now;
     Job& j = *slot;
     j.spec = r.spec;
     j.accepted_wall = r.accepted_wall;
--- a/src/jobs/table.h
+++ b/src/jobs/table.h
@@ -79,6 +79,7 @@
     Job* find(const std::string& id);
     const Job* find(const std::string& id) const;
     size_t size() const { return jobs_.size(); }
+    Seconds last_arrival() const { return last_arrival_; }
 
     // A record read from the state service: a new job, or news of a known one.
     Job& load(const JobRecord& record, uint64_t stamp, Seconds now, double wall);
@@ -121,6 +122,7 @@
     void stop_gang(Job& job, Seconds grace);
 
     Map jobs_;
+    Seconds last_arrival_ = 0;
     std::vector<std::string> dirty_;  // ids, in order of change
     std::set<std::string> queued_;    // what dirty_ holds
     std::set<std::string> urgent_;
--- a/src/lead/leader.cc
+++ b/src/lead/leader.cc
@@ -421,7 +421,7 @@
         step(nullptr);  // time has passed: what was held may go
         if (cluster_.flavors.empty()) continue;
         // The machine list lags; what an earlier leader rented shows up only after that.
-        if (loop_.now() - loaded_at_ < constants::kLeaderSettle_s) continue;
+        if (term_.epoch > 1 && loop_.now() - loaded_at_ < constants::kLeaderSettle_s) continue;
         FleetInput in{config_,        settings_, loop_.now(), loaded_at_,
                       refused_until_, on_order_, true,        kind_seen_spot_only()};
         cluster_.recount(jobs_, loop_.now(),
@@ -445,6 +445,13 @@
             if (names.size() == constants::kDeleteAtMost) spawn(remove(std::exchange(names, {})), "return");
         }
         if (!names.empty()) spawn(remove(std::move(names)), "return");
+        for (const auto& name : plan.empty_out) {
+            Host* h = cluster_.host(name);
+            if (!h) continue;
+            log::info("machine {}: its {} tasks are moved, so that it can be returned", name, h->placed);
+            h->emptying = true;
+            drain(*h);
+        }
         log_waiting();
         log_fleet();
     }
