--- a/tests/standins.cc
+++ b/tests/standins.cc
@@ -296,7 +296,7 @@
 }
 
 Site::Site(int n) {
-    settings.idle_return_s = 3600;  // the scripts decide when a machine goes
+    settings.idle_return_s = settings.calm_s = 3600;  // the scripts decide when a machine goes
     setup_log(std::getenv("LOG_LEVEL") ? std::getenv("LOG_LEVEL") : "error", "test");
     cloud.flavors = {small_flavor()};
     for (int i = 0; i < n; ++i) {
