Make room on machines that have a gang's image

Cause: the gangs that missed 8 s on memphis rough (simulated) were bound at once but fetched their image for 10 s and more, while machines with the image ran idle-priority arrays. Change: such arrays, if they checkpoint often, are stopped at once and the gang is held up to 4 s for the room. Ruled out: late binding; what is left are images that no yielding machine has.

--- a/src/base/constants.h
+++ b/src/base/constants.h
@@ -91,8 +91,11 @@
     4.0;  // stopped without saving if checkpoints come within this many saves
 inline constexpr double kOverdueShare =
     0.25;  // an overdue task is expected to take this share of its time again
-inline constexpr double kNoPlace_s = 3600.0;       // "not in sight" for places that nothing is known to free
-inline constexpr double kCalmIdle_s = 6.0;         // in a calm an idle machine is returned after two reports
+inline constexpr double kNoPlace_s = 3600.0;  // "not in sight" for places that nothing is known to free
+inline constexpr double kCalmIdle_s = 6.0;    // in a calm an idle machine is returned after two reports
+inline constexpr double kClaimFetch_s =
+    3.0;                                     // room is made for an image that takes longer than this to fetch
+inline constexpr double kClaimWait_s = 4.0;  // and waited for this long
 inline constexpr double kMoveAfter_s = 35.0;       // a task is not moved before it ran this long
 inline constexpr double kMoveWorth_s = 40.0;       // nor when it is expected to end within this
 inline constexpr int kHostErrors = 2;              // failed tasks of different jobs that condemn a machine
--- a/src/jobs/table.cc
+++ b/src/jobs/table.cc
@@ -31,6 +31,10 @@
     return "";
 }
 
+bool Job::hasty() const {
+    return spec.checkpoint_s > 0 && spec.checkpoint_s <= constants::kHasteShare * spec.save_s;
+}
+
 bool Job::room_in_record(size_t value_bytes, uint32_t more) const {
     size_t used =
         constants::kRecordSpare + done.pieces() * 13 + (live.size() + more) * constants::kPlacementBytes;
@@ -230,9 +234,7 @@
 void JobTable::stop(Job& job, uint32_t task, Seconds, bool haste) {
     Seconds grace = job.spec.save_s + constants::kSaveSpare_s;
     // On average half a checkpoint interval is lost, against a save during which the room is not free.
-    if (haste && job.spec.checkpoint_s > 0 &&
-        job.spec.checkpoint_s <= constants::kHasteShare * job.spec.save_s)
-        grace = 0;
+    if (haste && job.hasty()) grace = 0;
     if (job.spec.gang()) {
         stop_gang(job, grace);
         job.broken = true;
@@ -362,12 +364,15 @@
             if (mine) {
                 present.insert(t.name);
                 Placement& p = it->second;
-                p.seen = true;
-                p.phase = t.phase;
+                if (p.phase != t.phase || !p.seen)
+                    log::debug("task {} attempt {} on {}: phase {}", t.name.text(), t.attempt, host.name,
+                               static_cast<int>(t.phase));
                 if (t.phase == TaskPhase::kRunning) {
                     if (p.running_since < 0) p.running_since = now;
                     job->started = true;
                 }
+                p.seen = true;
+                p.phase = t.phase;
                 if (t.phase == TaskPhase::kExited) {
                     exited(cluster, host, *job, t.name.task, t, now);
                     x.exit_version = job->version;
--- a/src/jobs/table.h
+++ b/src/jobs/table.h
@@ -62,12 +62,17 @@
     bool blamed = false;
     Seconds waiting_since = 0;
     bool stray = false;  // a machine runs a task of it that no placement accounts for
+    // Room is being made on machines that have the image: until then it is not started elsewhere.
+    Seconds claimed_until = 0;
+    Seconds claim_for = -1;  // the wait (waiting_since) for which that was tried
     Wait why = Wait::kNew;
     Seconds why_logged = -1e9;
 
     bool over() const { return done.size() == spec.tasks; }
     bool dirty() const { return version != committed; }
     bool waiting() const { return !withdrawn && !over() && !pending.empty(); }
+    // Stopping it at once loses no more than letting it save: it checkpoints often.
+    bool hasty() const;
     bool room_in_record(size_t value_bytes, uint32_t more) const;
     JobRecord record() const;
 };
--- a/src/match/match.cc
+++ b/src/match/match.cc
@@ -142,6 +142,8 @@
     }
 
     void serve_class(std::vector<Queued> jobs) {
+        for (auto& q : jobs)
+            if (q.job->spec.gang()) claim_holders(q);
         for (auto& q : jobs)
             if (q.job->spec.gang() && q.job->spec.tasks > 1 && may_start(*q.job)) place_gang(*q.job);
         for (Host* h : in_.askers)
@@ -181,7 +183,8 @@
                 continue;
             }
             bool cached = h.cache.has(job.spec.image);
-            if (!cached && in_.now - job.waiting_since < in_.settings.hold_s && idle_holder(job, h)) {
+            if (!cached && (in_.now < job.claimed_until ||
+                            (in_.now - job.waiting_since < in_.settings.hold_s && idle_holder(job, h)))) {
                 job.why = Wait::kHeldForImage;
                 continue;
             }
@@ -261,10 +264,54 @@
             job.why = Wait::kGangRoom;
             return;
         }
+        if (in_.now < job.claimed_until && best_cached < n) {
+            job.why = Wait::kHeldForImage;
+            return;
+        }
         if (fresh) job.attempt = job.next_attempt++;
         for (Host* h : best) bind(job, *job.pending.first(), *h, job.attempt);
     }
 
+    // A gang whose image takes long to fetch, and whose holders are busy with work that yields and loses
+    // little: that work is stopped at once and the gang waits for the room, rather than for the fetch.
+    void claim_holders(const Queued& q) {
+        Job& job = *q.job;
+        if (job.claim_for == job.waiting_since || !job.live.empty() || !may_start(job)) return;
+        job.claim_for = job.waiting_since;
+        uint32_t n = job.pending.size();
+        if (!cluster_.within_limit(in_.config, job.spec, n)) return;
+        std::vector<Offer> offers;
+        for (Host* h : usable_) {
+            if (!job.spec.allows(h->flavor, h->zone, h->spot) || avoids(job, *h)) continue;
+            const Flavor* f = cluster_.flavor(h->flavor);
+            if (!h->cache.has(job.spec.image) ||
+                job.spec.image_gb < constants::kClaimFetch_s * f->fetch_gb_per_s)
+                continue;
+            offers.push_back(offer(q, *h));
+            std::erase_if(offers.back().steps, [](const std::vector<Victim>& step) {
+                return std::any_of(step.begin(), step.end(), [](const Victim& v) { return !v.job->hasty(); });
+            });
+        }
+        std::vector<std::string> zones = job.spec.one_zone ? in_.config.zones : std::vector<std::string>{""};
+        Room best;
+        for (const auto& zone : zones) {
+            if (!zone.empty() && ZoneRule(job).room(zone) == 0) continue;
+            Room r = room_in(zone, job, n, offers);
+            if (r.whole && (!best.whole || r.better_than(best))) best = std::move(r);
+        }
+        if (!best.whole || best.victims.empty()) return;
+        for (const Victim& v : best.victims) {
+            log::debug("task {}/{} is stopped for job {}, whose image is there", v.job->spec.id, v.task,
+                       job.spec.id);
+            jobs_.stop(*v.job, v.task, in_.now, true);
+        }
+        job.claimed_until = in_.now + constants::kClaimWait_s;
+        for (Host* h : best.keep) {
+            h->kept += Amount::of(job.spec);
+            h->kept_until = std::max(h->kept_until, in_.now);
+        }
+    }
+
     // --- preemption and reservation -------------------------------------------------------------------
 
     struct Victim {
