Let a leader that no worker reaches resign; judge silence by zone; keep room in queue order

Changes: quiet machines are counted early and by zone; one returning worker speaks for its zone; a leader that hears nobody while a sibling does resigns. And, found by a test: younger work of the same priority pulled the room before a waiting gang kept it.

--- a/src/back/frames.h
+++ b/src/back/frames.h
@@ -28,6 +28,7 @@
     uint64_t epoch;         // highest epoch the sender knows
     uint8_t leads;          // it leads in that epoch
     uint8_t ready;          // it takes users' requests
+    uint16_t hellos;        // workers' reports that came to the sender itself in the last seconds
     uint32_t state_age_ms;  // since the state service last answered it
     uint32_t quiet_ms;      // for how long it has told no user of a withdrawal; at most its uptime
 };
@@ -37,7 +38,7 @@
 };
 #pragma pack(pop)
 
-static_assert(sizeof(Head) == 16 && sizeof(Beat) == 58 && sizeof(RelayAnswerHead) == 2);
+static_assert(sizeof(Head) == 16 && sizeof(Beat) == 60 && sizeof(RelayAnswerHead) == 2);
 
 struct Frame {
     Kind kind{};
--- a/src/base/constants.h
+++ b/src/base/constants.h
@@ -64,7 +64,12 @@
 inline constexpr size_t kPointed = 10'000;         // workers whose redirection is remembered
 inline constexpr double kRelay_s = 3.0;            // a relayed report must be answered by then (worker: 4 s)
 inline constexpr double kRelayAfter_s = 25.0;      // a worker back this soon after a redirection is relayed
-inline constexpr double kRelayFor_s = 45.0;        // then redirected again, to learn whether the cut is over
+inline constexpr double kResignQuiet_s =
+    7.0;  // a leader that no worker reached for this long resigns if others hear them
+inline constexpr size_t kResignMachines = 3;   // with fewer machines their silence says little
+inline constexpr double kResignOut_s = 30.0;   // and does not stand again for this long
+inline constexpr double kHelloWindow_s = 5.0;  // reports of workers are counted over this for the heartbeat
+inline constexpr double kRelayFor_s = 45.0;    // then redirected again, to learn whether the cut is over
 
 // --- workers ----------------------------------------------------------------------------------------
 inline constexpr double kHoldReport_s = 2.5;   // an idle worker's report is held; worker gives up at 4 s
@@ -84,6 +89,7 @@
 inline constexpr double kCloudCall_s = 6.0;      // a cloud call; answers take some 250 ms
 inline constexpr double kNoCapacity_s = 12.0;    // a refused kind is not asked for again before this
 inline constexpr double kSilent_s = 11.0;        // a worker silent this long is unreachable
+inline constexpr double kQuietReports = 2.2;     // after this many missed report_s a machine counts as quiet
 inline constexpr double kBootPatience = 3.0;     // times boot_s before a booting machine is given up
 inline constexpr double kBootExtra_s = 20.0;     // added to it: lists lag
 inline constexpr double kSaveSpare_s = 3.0;      // added to the time a task needs to save
--- a/src/fleet/plan.cc
+++ b/src/fleet/plan.cc
@@ -48,19 +48,23 @@
     // Machines that are of no use. A machine is returned with tasks on it only when nothing can be saved
     // there any more: the deletion is also what proves that its tasks are gone.
     void judge() {
-        size_t known = 0, silent = 0;
+        // When most of a zone's machines are quiet at once, the zone is likely cut off from this controller:
+        // they are given longer. Counted early, lest the first to be judged are taken one by one.
+        std::map<std::string, std::pair<size_t, size_t>> zones;  // quiet, known
         for (const auto& [name, h] : cluster_.hosts) {
-            if (!h->reported) continue;
+            if (!h->reported || h->phase == MachinePhase::kFailed) continue;
+            auto& [quiet, known] = zones[h->zone];
             ++known;
-            if (in_.now - h->last_report > constants::kSilent_s && !h->holding) ++silent;
+            if (in_.now - h->last_report > constants::kQuietReports * in_.config.report_s && !h->holding)
+                ++quiet;
         }
-        // When many fall silent at once, the trouble is likely on this side: they are given longer.
-        bool ours = silent >= 3 && silent * 2 > known;
         for (const auto& [name, h] : cluster_.hosts) {
             if (h->deleting) continue;
             const Flavor* f = cluster_.flavor(h->flavor);
             Seconds quiet = in_.now - std::max(h->last_report, in_.leading_since);
-            Seconds patience = ours ? 2 * in_.config.lease_s : constants::kSilent_s;
+            const auto& [silent, known] = zones[h->zone];
+            bool cut = silent >= 3 && silent * 2 > known;
+            Seconds patience = cut ? 2 * in_.config.lease_s : constants::kSilent_s;
             if (h->phase == MachinePhase::kFailed) {
                 give_back(*h, "it failed");
             } else if (h->phase == MachinePhase::kRunning && h->reported && !h->holding && quiet > patience) {
--- a/src/lead/leader.cc
+++ b/src/lead/leader.cc
@@ -505,6 +505,11 @@
     step(nullptr);
 }
 
+size_t Leader::machines_reported() const {
+    return static_cast<size_t>(std::count_if(cluster_.hosts.begin(), cluster_.hosts.end(),
+                                             [](const auto& h) { return h.second->reported; }));
+}
+
 // --- for the operators --------------------------------------------------------------------------------
 
 void Leader::log_waiting() {
--- a/src/lead/leader.h
+++ b/src/lead/leader.h
@@ -33,6 +33,10 @@
     // A worker's report, and the answer to it. 421 means that another leads.
     Task<Response> hello(Report report);
 
+    // How many machines have reported to this leader, and for how long it has known its view.
+    size_t machines_reported() const;
+    Seconds loaded_for() const { return loaded_ ? loop_.now() - loaded_at_ : 0; }
+
     std::string jobs_page() const;
     std::string machines_page() const;
     const JobTable& jobs() const { return jobs_; }
--- a/src/match/match.cc
+++ b/src/match/match.cc
@@ -141,16 +141,29 @@
         bound_.push_back({&job, task, &h});
     }
 
-    void serve_class(std::vector<Queued> jobs) {
-        for (auto& q : jobs)
+    // In the order of the queue: what is placed task by task is pulled by the askers; a gang of several
+    // tasks is placed whole, or keeps the room that it waits for from all that come after it.
+    void serve_class(const std::vector<Queued>& jobs) {
+        for (const auto& q : jobs)
             if (q.job->spec.gang()) claim_holders(q);
-        for (auto& q : jobs)
-            if (q.job->spec.gang() && q.job->spec.tasks > 1 && may_start(*q.job)) place_gang(*q.job);
+        std::vector<Queued> singles;
+        for (const auto& q : jobs) {
+            if (q.job->spec.gang() && q.job->spec.tasks > 1) {
+                serve_singles(std::exchange(singles, {}));
+                if (may_start(*q.job)) place_gang(*q.job);
+                make_room(q);
+            } else {
+                singles.push_back(q);
+            }
+        }
+        serve_singles(singles);
+    }
+
+    void serve_singles(const std::vector<Queued>& jobs) {
+        if (jobs.empty()) return;
         for (Host* h : in_.askers)
             if (h->usable) pull(jobs, *h);
-        // What could not be placed takes room from work that must yield to it, and keeps the room that it
-        // waits for from work that comes after it.
-        for (auto& q : jobs) make_room(q);
+        for (const auto& q : jobs) make_room(q);
     }
 
     // One machine asks: it gets tasks until none fits it.
--- a/src/node.cc
+++ b/src/node.cc
@@ -69,6 +69,9 @@
     auto ms = [&](Seconds since) {
         return static_cast<uint32_t>(std::clamp((loop_.now() - since) * 1000, 0.0, 4e9));
     };
+    b.hellos = static_cast<uint16_t>(std::count_if(hellos_.begin(), hellos_.end(), [&](Seconds t) {
+        return loop_.now() - t < constants::kHelloWindow_s;
+    }));
     b.state_age_ms = state_.last_contact() < 0 ? UINT32_MAX : ms(state_.last_contact());
     b.quiet_ms = ms(users_.last_withdrawal());
     return b;
@@ -105,6 +108,7 @@
         for (const auto& p : siblings_.peers())
             if (p.beat.leads && loop_.now() - p.heard < constants::kBeatFresh_s)
                 election_.heard(p.who.label, p.beat.epoch);
+        resign_if_cut_off();
         if (leader_ && (!election_.leading() || leader_->epoch() != election_.epoch())) {
             leader_->stop();
             leader_.reset();
@@ -123,6 +127,20 @@
     }
 }
 
+// A leader that keeps the state service but hears no worker, while others hear them, is cut off from them.
+void Controller::resign_if_cut_off() {
+    if (!leader_ || !election_.leading() || leader_->loaded_for() < constants::kResignQuiet_s) return;
+    if (leader_->machines_reported() < constants::kResignMachines) return;
+    if (!hellos_.empty() && loop_.now() - hellos_.back() < constants::kResignQuiet_s) return;
+    for (const auto& p : siblings_.peers()) {
+        if (loop_.now() - p.heard > constants::kBeatFresh_s || p.beat.hellos < constants::kResignMachines)
+            continue;
+        log::info("no worker reaches this node, but {} hears them", p.who.label);
+        election_.resign(constants::kResignOut_s);
+        return;
+    }
+}
+
 Task<void> Controller::learn_flavors() {
     // The cloud's word is asked for once; after that the leader keeps prices up to date for itself.
     while (flavors_.empty()) {
@@ -142,7 +160,10 @@
 Task<Response> Controller::hello(std::string body) {
     auto report = Report::parse(body);
     if (!report) co_return status(400);
-    std::string host = report->host;
+    std::string host = report->host, zone = report->zone;
+    hellos_.push_back(loop_.now());
+    while (hellos_.size() > constants::kPointed || loop_.now() - hellos_.front() > constants::kHelloWindow_s)
+        hellos_.pop_front();
     if (auto leader = leader_) {
         Response r = co_await leader->hello(std::move(*report));
         if (r.status == 200) co_return r;
@@ -155,9 +176,15 @@
     Pointed& p = pointed_[host];
     Seconds now = loop_.now();
     bool back = p.leader == to && now - p.at < constants::kRelayAfter_s;
+    // One worker of a zone that comes back speaks for the others there.
+    if (cut_zones_.size() > constants::kPointed) cut_zones_.clear();
+    Pointed& z = cut_zones_[zone];
+    if (back && p.relayed_since < 0) z = {to, now, now};
+    back = back || (z.leader == to && now - z.at < constants::kRelayAfter_s);
     if (back && (p.relayed_since < 0 || now - p.relayed_since < constants::kRelayFor_s)) {
         // It was pointed to the leader and is here again: there is a cut between the two.
-        if (p.relayed_since < 0) p.relayed_since = now;
+        if (p.relayed_since < 0 || p.leader != to) p.relayed_since = now;
+        p.leader = to;
         p.at = now;
         auto r = co_await siblings_.relay(to, std::move(body));
         if (r && r->status == 200) co_return *r;
--- a/src/node.h
+++ b/src/node.h
@@ -26,6 +26,7 @@
     Task<Response> relayed(std::string body);
     Response operator_page(const std::string& path);
     bool ready() const;
+    void resign_if_cut_off();
     back::Beat beat() const;
     Seconds vouched(Seconds since) const;
 
@@ -46,6 +47,9 @@
         Seconds relayed_since = -1;
     };
     std::unordered_map<std::string, Pointed> pointed_;
+    // Zones whose workers cannot reach a leader: their reports are passed on without pointing them first.
+    std::map<std::string, Pointed> cut_zones_;
+    std::deque<Seconds> hellos_;  // when workers' reports came
     Siblings siblings_;
     HttpServer server_;
     Scope scope_;
--- a/tests/controller_test.cc
+++ b/tests/controller_test.cc
@@ -246,6 +246,43 @@
     EXPECT_EQ(w.epoch, s.nodes[static_cast<size_t>(s.leader())]->election().epoch());
 }
 
+// A leader that keeps the state service but that no worker reaches gives way to one that they reach.
+TEST(Controller, ALeaderCutOffFromTheWorkersResigns) {
+    Site s(2);
+    s.start(0);
+    s.start(1);
+    ASSERT_TRUE(s.until([&] { return s.leader() >= 0; }));
+    int first = s.leader();
+    std::vector<FakeWorker> workers(4);
+    for (size_t i = 0; i < workers.size(); ++i) {
+        workers[i].name = "vm-00000" + std::to_string(i);
+        s.settle(workers[i]);
+    }
+    // Busy machines are answered at once.
+    ASSERT_EQ(s.call(first, "POST", "/v2/runs",
+                     job_body("job-1",
+                              [](auto& f) {
+                                  Packer p;
+                                  f["pieces"] = p.count(8).take();
+                              }))
+                  .status,
+              201);
+    for (int i = 0; i < 2; ++i)
+        for (auto& w : workers) s.hello(w, first);
+    ASSERT_EQ(workers[3].tasks.size(), 2u);
+    auto report = [&](int node, Seconds time) {
+        for (Seconds t = 0; t < time && s.leader() == first; t += 1) {
+            s.run(1);
+            for (auto& w : workers) s.hello(w, node);
+        }
+    };
+    report(first, 10);
+    EXPECT_EQ(s.leader(), first);
+    report(1 - first, 15);
+    ASSERT_TRUE(s.until([&] { return s.leader() == 1 - first; }, 5));
+    EXPECT_TRUE(s.cloud.deleted.empty()) << "its machines were not given up";
+}
+
 TEST(Controller, DeletesAnUnreachableMachineBeforeItsTasksStartElsewhere) {
     Site s;
     s.start(0);
--- a/tests/lifecycle_test.cc
+++ b/tests/lifecycle_test.cc
@@ -391,4 +391,93 @@
     };
     EXPECT_EQ(silent(1), 1u);
     EXPECT_EQ(silent(5), 0u) << "more likely the controller is cut off";
+    // Not one by one either, when the others have only just fallen quiet.
+    for (int i = 1; i < 6; ++i) cluster.host("vm-" + std::to_string(i))->last_report = now - 8;
+    cluster.host("vm-0")->last_report = then;
+    FleetInput in{config, settings, now, then, {}, {}, true, false};
+    EXPECT_TRUE(plan_fleet(cluster, jobs, in).give_back.empty());
+}
+
+// Work is moved together only when no job has come for a while, and only if it can save and fits elsewhere.
+TEST_F(Lifecycle, EmptiesHalfUsedMachinesOnlyInACalm) {
+    config.teams[0].gpus_max = 0;
+    Host &x = machine("vm-1"), &y = machine("vm-2");
+    JobSpec s = spec("job-1", 2);
+    s.estimate_s = 500;
+    Job& j = add(s);
+    jobs.bind(j, 0, x, 1, now);
+    jobs.bind(j, 1, y, 2, now);
+    committed(j);
+    jobs.apply(cluster, x, report(x, {task("job-1", 0, 1, TaskPhase::kRunning)}), true, now);
+    jobs.apply(cluster, y, report(y, {task("job-1", 1, 2, TaskPhase::kRunning)}), true, now);
+    auto moved = [&] {
+        x.last_report = y.last_report = now;
+        cluster.recount(jobs, now, 6);
+        FleetInput in{config, settings, now, 0, {}, {}, true, false};
+        return plan_fleet(cluster, jobs, in).empty_out.size();
+    };
+    now += settings.calm_s - 1;
+    EXPECT_EQ(moved(), 0u);
+    now += 40;
+    EXPECT_EQ(moved(), 1u);
+    j.spec.checkpoint_s = 0;
+    EXPECT_EQ(moved(), 0u) << "what cannot save is not moved";
+}
+
+// A waiting gang keeps the machines that come free, except for work that is over before it can start.
+TEST_F(Lifecycle, KeepsRoomForAWaitingGangAndLendsItToShortWork) {
+    config.teams[0].gpus_max = 0;
+    Host &x = machine("vm-1"), &y = machine("vm-2");
+    JobSpec longer = spec("job-1", 1);
+    longer.gpus = 2;
+    longer.estimate_s = 200;
+    Job& busy = add(longer);
+    jobs.bind(busy, 0, y, 1, now);
+    committed(busy);
+    jobs.apply(cluster, y, report(y, {task("job-1", 0, 1, TaskPhase::kRunning)}), true, now);
+    JobSpec g = spec("job-2", 2, Shape::kGang);
+    g.gpus = 2;
+    g.one_zone = true;
+    add(g);
+    JobSpec slow = spec("job-3", 1), quick = spec("job-4", 1);
+    slow.estimate_s = 300;
+    quick.estimate_s = 20;
+    now += 1;
+    add(slow);
+    EXPECT_TRUE(pull({&x}).empty()) << "kept for the gang";
+    add(quick);
+    auto b = pull({&x});
+    ASSERT_EQ(b.size(), 1u);
+    EXPECT_EQ(b[0].job->spec.id, "job-4");
+}
+
+TEST_F(Lifecycle, PreemptsOnlyWorkThatMustYield) {
+    config.teams[0].gpus_max = 0;
+    Team guaranteed;
+    guaranteed.name = "other";
+    guaranteed.gpus = 2;
+    config.teams.push_back(guaranteed);
+    Host& x = machine("vm-1");
+    Job& low = add(spec("job-1", 2));
+    low.spec.rank = Rank::kStandard;
+    low.spec.checkpoint_s = 100;
+    pull({&x});
+    committed(low);
+    jobs.apply(
+        cluster, x,
+        report(x, {task("job-1", 0, 1, TaskPhase::kRunning), task("job-1", 1, 2, TaskPhase::kRunning)}), true,
+        now);
+    auto stopping = [&] {
+        return std::count_if(low.live.begin(), low.live.end(), [](auto& p) { return p.second.stopping; });
+    };
+    JobSpec same = spec("job-2", 1, Shape::kGang);
+    add(same);
+    pull({&x});
+    EXPECT_EQ(stopping(), 0) << "not for work of the same priority";
+    JobSpec owed = spec("job-3", 1);
+    owed.team = "other";
+    add(owed);
+    pull({&x});
+    EXPECT_EQ(stopping(), 1) << "for another team's guarantee, one task is enough";
+    EXPECT_GT(std::max(low.live.at(0).grace_s, low.live.at(1).grace_s), 2) << "with time to save";
 }
