Shorten the leadership lease to 3 s, read machine types from the state service first; log GPU time

Cause: after a crash another leads only when the lease has ended, and a restarted node was not ready before the cloud had answered.

--- a/src/base/constants.h
+++ b/src/base/constants.h
@@ -41,8 +41,8 @@
 
 // --- state service ----------------------------------------------------------------------------------
 inline constexpr double kStateCall_s = 1.5;   // answers take < 10 ms, at times a few hundred
-inline constexpr double kLeadTtl_s = 5.0;     // leadership lease: three missed renewals
-inline constexpr double kLeadRenew_s = 1.2;   // renewal interval of the leadership lease
+inline constexpr double kLeadTtl_s = 3.0;     // leadership lease: three missed renewals
+inline constexpr double kLeadRenew_s = 0.8;   // renewal interval of the leadership lease
 inline constexpr double kLeadMargin_s = 0.5;  // taken off the lease for drift and latency
 inline constexpr double kDrift = 0.001;       // clock drift allowed for: twice the protocol's 0.05%
 inline constexpr double kWatchWait_s = 3.0;   // one watch; bounds how old "no news" can be
--- a/src/lead/leader.cc
+++ b/src/lead/leader.cc
@@ -426,6 +426,7 @@
                       refused_until_, on_order_, true,        kind_seen_spot_only()};
         cluster_.recount(jobs_, loop_.now(),
                          constants::kFreshReports * config_.report_s);  // without what is kept
+        account(constants::kFleetTick_s);
         FleetPlan plan = plan_fleet(cluster_, jobs_, in);
         for (auto& r : plan.rent) {
             while (r.number > 0) {
@@ -522,6 +523,25 @@
     }
 }
 
+void Leader::account(Seconds since) {
+    for (const auto& [name, h] : cluster_.hosts) {
+        const Flavor* f = cluster_.flavor(h->flavor);
+        if (!f || h->phase == MachinePhase::kFailed) continue;
+        if (!h->reported) {
+            spent_.booting += f->gpus * since;
+        } else if (h->idle()) {
+            spent_.idle += f->gpus * since;
+        } else {
+            double running = 0;
+            for (const auto& t : h->tasks)
+                if (t.phase == TaskPhase::kRunning) running += t.amount.gpus;
+            spent_.running += running * since;
+            spent_.unused += std::max(0.0, h->free.gpus) * since;
+            spent_.starting += std::max(0.0, f->gpus - std::max(0.0, h->free.gpus) - running) * since;
+        }
+    }
+}
+
 void Leader::log_fleet() {
     if (loop_.now() - fleet_logged_ < constants::kWhyLog_s) return;
     fleet_logged_ = loop_.now();
@@ -545,6 +565,14 @@
         "{} machines, {} of them spot, {} not up yet, {} idle; {:.0f} of {:.0f} GPUs taken; {} tasks of {} "
         "jobs wait",
         cluster_.hosts.size(), spot, booting, idle, gpus - free, gpus, waiting, jobs);
+    double all = spent_.booting + spent_.idle + spent_.unused + spent_.starting + spent_.running;
+    if (all > 0)
+        log::info(
+            "GPU time: {:.0f}% running, {:.0f}% starting or stopping, {:.0f}% free on machines in use, "
+            "{:.0f}% on "
+            "idle machines, {:.0f}% booting",
+            100 * spent_.running / all, 100 * spent_.starting / all, 100 * spent_.unused / all,
+            100 * spent_.idle / all, 100 * spent_.booting / all);
 }
 
 std::string Leader::jobs_page() const {
--- a/src/lead/leader.h
+++ b/src/lead/leader.h
@@ -73,6 +73,7 @@
     void finished(const std::string& id, uint64_t tide);
     void take_change(const Change& c);
     void log_waiting();
+    void account(Seconds since);
     void log_fleet();
     bool kind_seen_spot_only() const;
 
@@ -102,6 +103,10 @@
     Seconds loaded_at_ = 0;
     uint64_t claims_ = 0;
     Seconds fleet_logged_ = -1e9;
+    // Where the GPU time that is paid for goes, in GPU seconds since this leader began; for the log.
+    struct Spent {
+        double booting = 0, idle = 0, unused = 0, starting = 0, running = 0;
+    } spent_;
     Bucket writes_;
     Signal ready_, dirty_;
     Scope scope_;
--- a/src/node.cc
+++ b/src/node.cc
@@ -142,17 +142,16 @@
 }
 
 Task<void> Controller::learn_flavors() {
-    // The cloud's word is asked for once; after that the leader keeps prices up to date for itself.
+    // What an earlier leader kept is at hand sooner than the cloud's word, and also while the cloud is away.
+    // Later changes of prices concern only the leader, which reads them itself.
     while (flavors_.empty()) {
-        auto got = co_await cloud_.flavors();
-        if (got) {
-            flavors_ = std::move(*got);
-            break;
-        }
         GetResult kept = co_await state_.get(kFlavorsKey, constants::kStateCall_s);
         if (kept.reply == Reply::kOk) {
             if (auto f = Cloud::unpack_flavors(kept.entry.data)) flavors_ = std::move(*f);
         }
+        if (!flavors_.empty()) break;
+        auto got = co_await cloud_.flavors();
+        if (got) flavors_ = std::move(*got);
         if (flavors_.empty()) co_await loop_.sleep(constants::kRetryPauseMax_s / 2);
     }
 }
