Rent no machine for array tasks that have room before it is up

Cause: 12% of the GPU time paid for on memphis steady was booting (simulated); machines were rented for every waiting array task although running ones would end within the boot time. Change: room expected to come free within boot_s is counted first.

--- a/src/fleet/plan.cc
+++ b/src/fleet/plan.cc
@@ -16,6 +16,7 @@
     Kind kind;
     Amount free;
     Amount whole;
+    Amount soon;         // expected to come free before a machine rented now would be up
     bool fresh = false;  // to be rented by this plan
     bool used = false;   // waiting work was put on it
 };
@@ -99,6 +100,13 @@
             s.kind = {h->flavor, h->zone, h->spot};
             s.whole = {f->cpus, f->gpus, f->memory_gb};
             s.free = h->free;
+            for (const auto& [id, task] : jobs_.on_host(name)) {
+                const Job* j = jobs_.find(id);
+                const Placement& p = j->live.at(task);
+                if (p.running_since >= 0 && p.running_since + j->spec.estimate_s < in_.now + f->boot_s &&
+                    in_.now - p.running_since < 2 * j->spec.estimate_s)
+                    s.soon += Amount::of(j->spec);
+            }
             slots_.push_back(s);
             ++in_zone_[h->zone];
         }
@@ -146,9 +154,9 @@
         return list;
     }
 
-    static uint32_t put(Slot& s, const JobSpec& spec, uint32_t n) {
-        uint32_t k = s.free.fits(spec, n);
-        for (uint32_t i = 0; i < k; ++i) s.free -= Amount::of(spec);
+    static uint32_t put(Slot& s, const JobSpec& spec, uint32_t n, Amount Slot::*of = &Slot::free) {
+        uint32_t k = (s.*of).fits(spec, n);
+        for (uint32_t i = 0; i < k; ++i) s.*of -= Amount::of(spec);
         if (k > 0) s.used = true;
         return k;
     }
@@ -167,6 +175,12 @@
         if (!s.one_zone || (s.tasks == 1)) {
             for (Slot& x : slots_)
                 if (n > 0 && s.allows(x.kind.flavor, x.kind.zone, x.kind.spot)) n -= put(x, s, n);
+            // Tasks that need not start together can as well wait for room that comes free before a new
+            // machine is up.
+            if (!s.gang())
+                for (Slot& x : slots_)
+                    if (n > 0 && x.host && s.allows(x.kind.flavor, x.kind.zone, x.kind.spot))
+                        n -= put(x, s, n, &Slot::soon);
             for (const Kind& kind : kinds(s)) {
                 while (n > 0 && add(kind, true)) n -= put(slots_.back(), s, n);
             }
