--- a/src/base/constants.h
+++ b/src/base/constants.h
@@ -72,7 +72,7 @@
 inline constexpr double kRelayFor_s = 45.0;    // then redirected again, to learn whether the cut is over
 
 // --- workers ----------------------------------------------------------------------------------------
-inline constexpr double kHoldReport_s = 2.5;   // an idle worker's report is held; worker gives up at 4 s
+inline constexpr double kHoldReport_s = 3.2;   // an idle worker's report is held; worker gives up at 4 s
 inline constexpr double kCommitWait_s = 1.2;   // an answer waits for its placements' commit
 inline constexpr double kReportDrop_s = 4.0;   // a worker drops answers after this (protocol)
 inline constexpr double kRenewMargin_s = 2.0;  // taken off the renewal right for latency and drift
@@ -90,9 +90,9 @@
 inline constexpr double kNoCapacity_s = 12.0;    // a refused kind is not asked for again before this
 inline constexpr double kSilent_s = 11.0;        // a worker silent this long is unreachable
 inline constexpr double kQuietReports = 2.2;     // after this many missed report_s a machine counts as quiet
-inline constexpr double kBootPatience = 3.0;     // times boot_s before a booting machine is given up
-inline constexpr double kBootExtra_s = 20.0;     // added to it: lists lag
-inline constexpr double kSaveSpare_s = 3.0;      // added to the time a task needs to save
+inline constexpr double kBootPatience = 3.0;  // times boot_s before a booting machine is given up
+inline constexpr double kBootExtra_s = 20.0;  // added to it: lists lag
+inline constexpr double kSaveSpare_s = 3.0;   // added to the time a task needs to save
 inline constexpr double kHasteShare =
     4.0;  // stopped without saving if checkpoints come within this many saves
 inline constexpr double kOverdueShare =
--- a/src/jobs/table.cc
+++ b/src/jobs/table.cc
@@ -75,7 +75,8 @@
     j.spec = r.spec;
     j.accepted_wall = r.accepted_wall;
     j.accepted = now - std::max(0.0, wall - r.accepted_wall);
-    j.waiting_since = now;
+    // A job that never started has waited since it came, also before this leader.
+    j.waiting_since = r.live.empty() && r.done.empty() && r.next_attempt <= 1 ? j.accepted : now;
     j.done = r.done;
     j.next_attempt = r.next_attempt;
     j.stamp = stamp;
