Condemn machines that crawl; hold relayed reports for less; look only at the queue's head for room

And slow machines were not told from long jobs: an array's tasks are now compared with siblings that ran in one go. Also puts right a test that the longer hold had broken.

--- a/src/base/constants.h
+++ b/src/base/constants.h
@@ -73,6 +73,8 @@
 
 // --- workers ----------------------------------------------------------------------------------------
 inline constexpr double kHoldReport_s = 3.2;   // an idle worker's report is held; worker gives up at 4 s
+inline constexpr double kHoldRelayed_s = 2.0;  // a relayed one for less: kRelay_s holds for the whole way
+inline constexpr double kCommitLast_s = 0.4;   // a commit is waited for this much past a hold
 inline constexpr double kCommitWait_s = 1.2;   // an answer waits for its placements' commit
 inline constexpr double kReportDrop_s = 4.0;   // a worker drops answers after this (protocol)
 inline constexpr double kRenewMargin_s = 2.0;  // taken off the renewal right for latency and drift
@@ -90,9 +92,9 @@
 inline constexpr double kNoCapacity_s = 12.0;    // a refused kind is not asked for again before this
 inline constexpr double kSilent_s = 11.0;        // a worker silent this long is unreachable
 inline constexpr double kQuietReports = 2.2;     // after this many missed report_s a machine counts as quiet
-inline constexpr double kBootPatience = 3.0;  // times boot_s before a booting machine is given up
-inline constexpr double kBootExtra_s = 20.0;  // added to it: lists lag
-inline constexpr double kSaveSpare_s = 3.0;   // added to the time a task needs to save
+inline constexpr double kBootPatience = 3.0;     // times boot_s before a booting machine is given up
+inline constexpr double kBootExtra_s = 20.0;     // added to it: lists lag
+inline constexpr double kSaveSpare_s = 3.0;      // added to the time a task needs to save
 inline constexpr double kHasteShare =
     4.0;  // stopped without saving if checkpoints come within this many saves
 inline constexpr double kOverdueShare =
@@ -102,9 +104,15 @@
 inline constexpr double kClaimFetch_s =
     3.0;                                     // room is made for an image that takes longer than this to fetch
 inline constexpr double kClaimWait_s = 4.0;  // and waited for this long
-inline constexpr double kMoveAfter_s = 35.0;       // a task is not moved before it ran this long
-inline constexpr double kMoveWorth_s = 40.0;       // nor when it is expected to end within this
-inline constexpr int kHostErrors = 2;              // failed tasks of different jobs that condemn a machine
+inline constexpr double kMoveAfter_s = 35.0;  // a task is not moved before it ran this long
+inline constexpr double kMoveWorth_s = 40.0;  // nor when it is expected to end within this
+inline constexpr int kHostErrors = 2;         // failed tasks of different jobs that condemn a machine
+inline constexpr double kCrawlFactor =
+    2.5;  // a task that runs this many times as long as its siblings crawls
+inline constexpr double kCrawlLeast_s = 20.0;      // but not before it ran this long
+inline constexpr uint32_t kCrawlSiblings = 3;      // finished siblings that are needed to tell
+inline constexpr size_t kCrawlTasks = 2;           // crawling tasks that condemn a machine
+inline constexpr size_t kRoomJobs = 32;            // waiting jobs for which room is sought in one step
 inline constexpr int kJobHosts = 3;                // machines a job fails on before the job is blamed
 inline constexpr double kJobBackoff_s = 10.0;      // first pause of a blamed job, doubled up to
 inline constexpr double kJobBackoffMax_s = 160.0;  //   this
--- a/src/jobs/table.cc
+++ b/src/jobs/table.cc
@@ -79,6 +79,7 @@
     j.waiting_since = r.live.empty() && r.done.empty() && r.next_attempt <= 1 ? j.accepted : now;
     j.done = r.done;
     j.next_attempt = r.next_attempt;
+    j.whole_story = r.next_attempt <= 1;
     j.stamp = stamp;
     j.pending = Ranges::whole(r.spec.tasks);
     for (uint32_t n = 0; n < r.spec.tasks && !j.done.empty(); ++n)
@@ -178,6 +179,7 @@
     by_host_[it->second.host].erase({job.spec.id, task});
     job.live.erase(it);
     if (!job.done.has(task)) {
+        job.interrupted.add(task);
         if (job.pending.empty()) job.waiting_since = now;
         job.pending.add(task);
     }
@@ -293,6 +295,11 @@
     switch (t.cause) {
         case ExitCause::kDone:
             host.failed_jobs.clear();
+            if (const Placement& p = job.live.at(task);
+                !job.spec.gang() && p.running_since >= 0 && job.whole_story && !job.interrupted.has(task)) {
+                ++job.runs;
+                job.runs_sum_s += now - p.running_since;
+            }
             complete(job, task, now);
             return;
         case ExitCause::kError:
@@ -321,6 +328,28 @@
     }
 }
 
+void JobTable::find_crawlers(Cluster& cluster, Seconds now) {
+    for (auto& [name, h] : cluster.hosts) {
+        if (h->condemned) continue;
+        size_t crawling = 0;
+        for (const auto& [id, task] : on_host(name)) {
+            const Job& j = *find(id);
+            if (j.spec.gang() || j.runs < constants::kCrawlSiblings) continue;
+            const Placement& p = j.live.at(task);
+            Seconds ran = p.running_since < 0 ? 0 : now - p.running_since;
+            if (ran > constants::kCrawlLeast_s && ran > constants::kCrawlFactor * j.runs_sum_s / j.runs)
+                ++crawling;
+        }
+        if (crawling < constants::kCrawlTasks) continue;
+        h->condemned = true;
+        h->why_condemned = "tasks take several times as long as their siblings elsewhere";
+        log::info("machine {}: condemned: {}", name, h->why_condemned);
+        auto tasks = on_host(name);
+        for (const auto& [id, task] : tasks)
+            if (Job* j = find(id); j->spec.checkpoint_s > 0) stop(*j, task, now);
+    }
+}
+
 bool JobTable::apply(Cluster& cluster, Host& host, const Report& r, bool absence, Seconds now) {
     bool news = false;
     std::map<std::pair<TaskName, uint64_t>, HostTask> before;
--- a/src/jobs/table.h
+++ b/src/jobs/table.h
@@ -57,6 +57,12 @@
     uint64_t attempt = 0;
     bool started = false, broken = false;
 
+    // Run times of array tasks that ran in one go, to tell machines that crawl.
+    bool whole_story = true;  // this leader saw all its starts
+    uint32_t runs = 0;
+    double runs_sum_s = 0;
+    Ranges interrupted;
+
     std::set<std::string> failed_on;  // machines, since the last success
     Seconds not_before = 0, backoff_s = 0;
     bool blamed = false;
@@ -93,6 +99,8 @@
 
     Placement& bind(Job& job, uint32_t task, const Host& host, uint64_t attempt, Seconds now);
     void withdraw(Job& job, Seconds now);
+    // Condemns machines whose tasks take several times as long as their siblings did elsewhere.
+    void find_crawlers(Cluster& cluster, Seconds now);
     // Starts to stop a task, or the whole gang it belongs to.
     // With `haste` a task that checkpoints often does not save first: that would take as long as it loses.
     void stop(Job& job, uint32_t task, Seconds now, bool haste = false);
--- a/src/lead/leader.cc
+++ b/src/lead/leader.cc
@@ -243,7 +243,7 @@
     return now < fresh_ + span || now < vouch_(fresh_) + span;
 }
 
-Task<Response> Leader::hello(Report r) {
+Task<Response> Leader::hello(Report r, Seconds hold) {
     Response no{503, "", 0, "application/msgpack"};
     if (r.epoch > term_.epoch) {
         deposed_("a worker has seen a later epoch");
@@ -251,7 +251,7 @@
     }
     Seconds began = loop_.now();
     while (!loaded_ && !stopped_)
-        if (co_await loop_.wait(ready_, began + constants::kHoldReport_s) == Wake::kTimeout) co_return no;
+        if (co_await loop_.wait(ready_, began + hold) == Wake::kTimeout) co_return no;
     if (stopped_ || gone_.count(r.host)) co_return no;
 
     std::string name = r.host;
@@ -269,17 +269,21 @@
     line(name).wake.notify();  // an older report of it, if one is held, is let go
     step(h);
 
-    Seconds hold_until = began + constants::kHoldReport_s;
-    Seconds commit_until = began + constants::kCommitWait_s;
+    // A commit is waited for from when it is needed, which may be late in a hold, but not past the time at
+    // which the worker gives up.
+    Seconds commit_until = -1;
     while (true) {
         h = cluster_.host(name);
         if (stopped_ || !h || line(name).reports != mine) co_return no;
         Seconds until = -1;
         bool commits = jobs_.awaits_commit(*h);
         if (commits) {
+            if (commit_until < 0)
+                commit_until =
+                    std::min(loop_.now() + constants::kCommitWait_s, began + hold + constants::kCommitLast_s);
             until = commit_until;
         } else if (h->usable && h->idle() && h->tasks.empty()) {
-            until = hold_until;
+            until = began + hold;
         }
         if (loop_.now() >= until) break;
         struct Held {
@@ -422,6 +426,7 @@
         if (cluster_.flavors.empty()) continue;
         // The machine list lags; what an earlier leader rented shows up only after that.
         if (term_.epoch > 1 && loop_.now() - loaded_at_ < constants::kLeaderSettle_s) continue;
+        jobs_.find_crawlers(cluster_, loop_.now());
         FleetInput in{config_,        settings_, loop_.now(), loaded_at_,
                       refused_until_, on_order_, true,        kind_seen_spot_only()};
         cluster_.recount(jobs_, loop_.now(),
--- a/src/lead/leader.h
+++ b/src/lead/leader.h
@@ -31,7 +31,8 @@
     uint64_t epoch() const { return term_.epoch; }
 
     // A worker's report, and the answer to it. 421 means that another leads.
-    Task<Response> hello(Report report);
+    // `hold`: how long the answer may be held for work that comes.
+    Task<Response> hello(Report report, Seconds hold);
 
     // How many machines have reported to this leader, and for how long it has known its view.
     size_t machines_reported() const;
--- a/src/match/match.cc
+++ b/src/match/match.cc
@@ -409,6 +409,8 @@
     void make_room(const Queued& q) {
         Job& job = *q.job;
         if (job.pending.empty() || !may_start(job)) return;
+        // The queue's head decides; looking at all of a long queue would cost its length times the machines.
+        if (++sought_ > constants::kRoomJobs) return;
         bool gang = job.spec.gang();
         if (gang && !job.live.empty() && (job.started || job.broken)) return;
         uint32_t n = job.pending.size();
@@ -515,6 +517,7 @@
     std::set<const Job*> entitled_;
     std::vector<Host*> usable_;
     std::vector<Binding> bound_;
+    size_t sought_ = 0;
 };
 
 }  // namespace
--- a/src/node.cc
+++ b/src/node.cc
@@ -164,7 +164,7 @@
     while (hellos_.size() > constants::kPointed || loop_.now() - hellos_.front() > constants::kHelloWindow_s)
         hellos_.pop_front();
     if (auto leader = leader_) {
-        Response r = co_await leader->hello(std::move(*report));
+        Response r = co_await leader->hello(std::move(*report), constants::kHoldReport_s);
         if (r.status == 200) co_return r;
         if (leader_ == leader && election_.leading()) co_return r;
     }
@@ -197,7 +197,7 @@
     auto report = Report::parse(body);
     auto leader = leader_;
     if (!report || !leader) co_return status(421);
-    co_return co_await leader->hello(std::move(*report));
+    co_return co_await leader->hello(std::move(*report), constants::kHoldRelayed_s);
 }
 
 Response Controller::operator_page(const std::string& path) {
--- a/tests/controller_test.cc
+++ b/tests/controller_test.cc
@@ -215,7 +215,7 @@
     // Reports every 3 s for so long; the last status.
     auto report = [&](Seconds time) {
         int status = 0;
-        for (Seconds t = 0; t < time; t += 3) {
+        for (Seconds end = s.loop.now() + time; s.loop.now() < end;) {
             s.run(3);
             status = s.hello(w, first);
         }
--- a/tests/lifecycle_test.cc
+++ b/tests/lifecycle_test.cc
@@ -324,6 +324,33 @@
     EXPECT_GT(jobs.find("job-7")->not_before, now);
 }
 
+// A machine that crawls shows against siblings of the same job elsewhere; a long job alone shows nothing.
+TEST_F(Lifecycle, CondemnsMachinesThatCrawl) {
+    config.teams[0].gpus_max = 0;
+    Job& j = add(spec("job-1", 8));
+    std::vector<Host*> hosts;
+    for (int i = 0; i < 4; ++i) hosts.push_back(&machine("vm-" + std::to_string(i)));
+    ASSERT_EQ(pull(hosts).size(), 8u);
+    committed(j);
+    auto state = [&](Host& h, TaskPhase p, ExitCause c) {
+        std::vector<ReportedTask> t;
+        for (auto& [id, n] : jobs.on_host(h.name)) t.push_back(task(id, n, j.live.at(n).attempt, p, c));
+        jobs.apply(cluster, h, report(h, t), true, now);
+    };
+    for (Host* h : hosts) state(*h, TaskPhase::kRunning, ExitCause::kNone);
+    now += 100;
+    jobs.find_crawlers(cluster, now);
+    EXPECT_FALSE(hosts[0]->condemned) << "nothing to compare with";
+    now -= 70;
+    for (int i = 1; i < 4; ++i) state(*hosts[static_cast<size_t>(i)], TaskPhase::kExited, ExitCause::kDone);
+    jobs.find_crawlers(cluster, now);
+    EXPECT_FALSE(hosts[0]->condemned);
+    now += 50;
+    jobs.find_crawlers(cluster, now);
+    EXPECT_TRUE(hosts[0]->condemned);
+    EXPECT_EQ(jobs.take_urgent().count("vm-0"), 1u) << "its tasks save and move";
+}
+
 TEST_F(Lifecycle, WaitsBrieflyForAnIdleHolderOfTheImage) {
     Job& j = add(spec("job-1", 1));
     Host &asker = machine("vm-1"), &holder = machine("vm-2");
