--- a/src/base/constants.h
+++ b/src/base/constants.h
@@ -40,12 +40,11 @@
 inline constexpr size_t kFinalCache = 4096;    // final job states kept in memory (about 100 B each)
 
 // --- state service ----------------------------------------------------------------------------------
-inline constexpr double kStateCall_s = 1.5;   // answers take < 10 ms, at times a few hundred
-inline constexpr double kLeadTtl_s = 3.0;     // leadership lease: three missed renewals
-inline constexpr double kLeadRenew_s = 0.8;   // renewal interval of the leadership lease
-inline constexpr double kLeadMargin_s = 0.5;  // taken off the lease for drift and latency
-inline constexpr double kDrift = 0.001;       // clock drift allowed for: twice the protocol's 0.05%
-inline constexpr double kWatchWait_s = 3.0;   // one watch; bounds how old "no news" can be
+inline constexpr double kStateCall_s = 1.5;  // answers take < 10 ms, at times a few hundred
+inline constexpr double kLeadTtl_s = 3.0;    // leadership lease: three missed renewals
+inline constexpr double kLeadRenew_s = 0.8;  // renewal interval of the leadership lease
+inline constexpr double kDrift = 0.001;      // clock drift allowed for: twice the protocol's 0.05%
+inline constexpr double kWatchWait_s = 3.0;  // one watch; bounds how old "no news" can be
 inline constexpr double kLeadWatch_s = 2.0;  // one watch of the leadership key; also shows that we are served
 inline constexpr double kAlone_s = 5.0;      // unserved this long while a sibling is served: not ready
 inline constexpr double kRetryPause_s = 0.25;      // pause after a failed call, doubled up to
@@ -72,11 +71,10 @@
 inline constexpr double kRelayFor_s = 45.0;    // then redirected again, to learn whether the cut is over
 
 // --- workers ----------------------------------------------------------------------------------------
-inline constexpr double kHoldReport_s = 3.2;   // an idle worker's report is held; worker gives up at 4 s
+inline constexpr double kHoldReport_s = 3.2;   // an idle worker's report is held; a worker gives up at 4 s (protocol)
 inline constexpr double kHoldRelayed_s = 2.0;  // a relayed one for less: kRelay_s holds for the whole way
 inline constexpr double kCommitLast_s = 0.4;   // a commit is waited for this much past a hold
 inline constexpr double kCommitWait_s = 1.2;   // an answer waits for its placements' commit
-inline constexpr double kReportDrop_s = 4.0;   // a worker drops answers after this (protocol)
 inline constexpr double kRenewMargin_s = 2.0;  // taken off the renewal right for latency and drift
 inline constexpr size_t kReportPieces = 512;   // tasks in a report that are looked at
 inline constexpr double kOrdersCall_s = 2.0;   // a direct command to a worker
--- a/src/fleet/plan.cc
+++ b/src/fleet/plan.cc
@@ -176,8 +176,8 @@
             for (Slot& x : slots_)
                 if (n > 0 && s.allows(x.kind.flavor, x.kind.zone, x.kind.spot)) n -= put(x, s, n);
             // Tasks that need not start together can as well wait for room that comes free before a new
-            // machine is up.
-            if (!s.gang())
+            // machine is up; not those with a deadline, since estimates are often wrong.
+            if (!s.gang() && !s.due_s)
                 for (Slot& x : slots_)
                     if (n > 0 && x.host && s.allows(x.kind.flavor, x.kind.zone, x.kind.spot))
                         n -= put(x, s, n, &Slot::soon);
