--- a/src/base/constants.h
+++ b/src/base/constants.h
@@ -71,7 +71,8 @@
 inline constexpr double kRelayFor_s = 45.0;    // then redirected again, to learn whether the cut is over
 
 // --- workers ----------------------------------------------------------------------------------------
-inline constexpr double kHoldReport_s = 3.2;   // an idle worker's report is held; a worker gives up at 4 s (protocol)
+inline constexpr double kHoldReport_s =
+    3.2;  // an idle worker's report is held; a worker gives up at 4 s (protocol)
 inline constexpr double kHoldRelayed_s = 2.0;  // a relayed one for less: kRelay_s holds for the whole way
 inline constexpr double kCommitLast_s = 0.4;   // a commit is waited for this much past a hold
 inline constexpr double kCommitWait_s = 1.2;   // an answer waits for its placements' commit
@@ -102,6 +103,8 @@
 inline constexpr double kClaimFetch_s =
     3.0;                                     // room is made for an image that takes longer than this to fetch
 inline constexpr double kClaimWait_s = 4.0;  // and waited for this long
+inline constexpr double kLateShare =
+    0.7;  // a job with less than this share of its estimate left will be late
 inline constexpr double kMoveAfter_s = 35.0;  // a task is not moved before it ran this long
 inline constexpr double kMoveWorth_s = 40.0;  // nor when it is expected to end within this
 inline constexpr int kHostErrors = 2;         // failed tasks of different jobs that condemn a machine
--- a/src/config/config.cc
+++ b/src/config/config.cc
@@ -82,6 +82,17 @@
         team.gpus_max = amount("gpus_max");
         c.teams.push_back(team);
     }
+    if (auto* aims = at("facts.objectives").as_array()) {
+        for (size_t i = 0; i < aims->size(); ++i) {
+            View o(aims->get(i));
+            if (o["kind"].value_or(std::string()) != "finished") continue;
+            std::string f = "facts.objectives[" + std::to_string(i) + "].";
+            std::string name = need_text(o["class"], f + "class");
+            Seconds within = positive(o["within_s"], f + "within_s");
+            auto [it, fresh] = c.finish_within.emplace(name, within);
+            if (!fresh) it->second = std::min(it->second, within);
+        }
+    }
     c.report_s = pos("facts.workers.report_s");
     c.lease_s = pos("facts.workers.lease_s");
     c.gang_wait_s = pos("facts.workers.gang_wait_s");
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -1,5 +1,6 @@
 // The platform's settings file (TOML) and the operators' own settings (S-expressions), both checked.
 #pragma once
+#include <map>
 #include <stdexcept>
 #include <string>
 #include <vector>
@@ -37,6 +38,8 @@
     Seconds list_lag_s = 0;
     size_t sockets = 0;
 
+    std::map<std::string, Seconds> finish_within;  // by class: the strictest aim for a job to be done
+
     const Team* team(const std::string& name) const;
     // Throws ConfigError with one line that names the field.
     static Config load(const std::string& path);
--- a/src/jobs/table.cc
+++ b/src/jobs/table.cc
@@ -35,6 +35,16 @@
     return spec.checkpoint_s > 0 && spec.checkpoint_s <= constants::kHasteShare * spec.save_s;
 }
 
+Seconds Job::due(const Config& config) const {
+    if (spec.due_s) return accepted + *spec.due_s;
+    auto it = config.finish_within.find(spec.job_class);
+    return accepted + (it == config.finish_within.end() ? constants::kNoPlace_s : it->second);
+}
+
+bool Job::late(const Config& config, Seconds now) const {
+    return now + constants::kLateShare * spec.estimate_s > due(config);
+}
+
 bool Job::room_in_record(size_t value_bytes, uint32_t more) const {
     size_t used =
         constants::kRecordSpare + done.pieces() * 13 + (live.size() + more) * constants::kPlacementBytes;
--- a/src/jobs/table.h
+++ b/src/jobs/table.h
@@ -79,6 +79,10 @@
     bool waiting() const { return !withdrawn && !over() && !pending.empty(); }
     // Stopping it at once loses no more than letting it save: it checkpoints often.
     bool hasty() const;
+    // When it should be done, by its deadline or its class's aim; far off if there is none.
+    Seconds due(const Config& config) const;
+    // Even started now it would likely be late.
+    bool late(const Config& config, Seconds now) const;
     bool room_in_record(size_t value_bytes, uint32_t more) const;
     JobRecord record() const;
 };
--- a/src/match/match.cc
+++ b/src/match/match.cc
@@ -59,12 +59,13 @@
         e.job = job.get();
         e.entitled = entitled.count(job.get()) > 0;
         e.aged = in.now - job->waiting_since > in.settings.age_bound_s;
+        e.late = !job->spec.gang() && job->late(in.config, in.now);
         q.push_back(e);
     }
     std::sort(q.begin(), q.end(), [](const Queued& a, const Queued& b) {
-        return std::tuple(!a.entitled, -static_cast<int>(a.job->spec.rank), !a.aged, a.job->accepted,
+        return std::tuple(!a.entitled, -static_cast<int>(a.job->spec.rank), a.late, !a.aged, a.job->accepted,
                           a.job->spec.id) < std::tuple(!b.entitled, -static_cast<int>(b.job->spec.rank),
-                                                       !b.aged, b.job->accepted, b.job->spec.id);
+                                                       b.late, !b.aged, b.job->accepted, b.job->spec.id);
     });
     return q;
 }
@@ -378,11 +379,12 @@
         uint32_t most = q.job->spec.tasks;
         o.places = room.fits(q.job->spec, most);
         // Those that lose least go first: arrays before gangs, what can save before what cannot, the
-        // lowest priority, and the latest start.
-        std::sort(victims.begin(), victims.end(), [](const Victim& a, const Victim& b) {
-            auto key = [](const Victim& v) {
+        // lowest priority, those that are late anyway, and the latest start.
+        std::sort(victims.begin(), victims.end(), [&](const Victim& a, const Victim& b) {
+            auto key = [&](const Victim& v) {
                 return std::tuple(v.job->spec.gang(), v.job->spec.checkpoint_s <= 0, v.job->spec.rank,
-                                  -v.job->live.at(v.task).bound_at, v.job->spec.id, v.task);
+                                  !v.job->late(in_.config, in_.now), -v.job->live.at(v.task).bound_at,
+                                  v.job->spec.id, v.task);
             };
             return key(a) < key(b);
         });
--- a/src/match/match.h
+++ b/src/match/match.h
@@ -34,6 +34,7 @@
     Job* job = nullptr;
     bool entitled = false;
     bool aged = false;
+    bool late = false;  // past its due time whatever is done: after those that can still make it
 };
 std::vector<Queued> queue_order(const JobTable& jobs, const MatchInput& in);
 
--- a/tests/lifecycle_test.cc
+++ b/tests/lifecycle_test.cc
@@ -324,6 +324,22 @@
     EXPECT_GT(jobs.find("job-7")->not_before, now);
 }
 
+// When more has come than can be done in time, serving the oldest first would make all of it late in turn.
+TEST_F(Lifecycle, ServesWhatCanStillMakeItsDeadlineBeforeWhatCannot) {
+    config.teams[0].gpus_max = 2;
+    JobSpec old = spec("job-1", 4), young = spec("job-2", 2);
+    old.due_s = young.due_s = 100;
+    old.estimate_s = young.estimate_s = 60;
+    add(old);
+    now += 80;
+    add(young);
+    Host& h = machine("vm-1");
+    auto b = pull({&h});
+    ASSERT_EQ(b.size(), 2u);
+    EXPECT_EQ(b[0].job->spec.id, "job-2");
+    EXPECT_EQ(b[1].job->spec.id, "job-2");
+}
+
 // A machine that crawls shows against siblings of the same job elsewhere; a long job alone shows nothing.
 TEST_F(Lifecycle, CondemnsMachinesThatCrawl) {
     config.teams[0].gpus_max = 0;
