--- a/src/lead/election.cc
+++ b/src/lead/election.cc
@@ -60,8 +60,13 @@
         resigning_ = false;
         co_await state_.revoke(lease_, constants::kStateCall_s);
     }
-    GetResult got = co_await state_.get(kLeaderKey, constants::kStateCall_s);
-    if (got.reply == Reply::kAbsent) {
+    // A list, since only that tells the revision from which to watch: the key's own stamp may be so old that
+    // the service has forgotten the changes since.
+    ListResult got = co_await state_.list(kLeaderKey, "", constants::kStatePage, constants::kStateCall_s);
+    const Entry* held = nullptr;
+    for (const auto& e : got.entries)
+        if (e.key == kLeaderKey) held = &e;
+    if (got.reply == Reply::kOk && !held) {
         pause_ = 0;
         if (!leader_.empty()) {
             leader_.clear();
@@ -81,14 +86,16 @@
         co_return;
     }
     pause_ = 0;
-    auto m = Message::parse(got.entry.data);
+    auto m = Message::parse(held->data);
     std::string node = m ? m->root()["node"].text_or("") : "";
     uint64_t epoch = m ? m->root()["epoch"].count_or(0) : 0;
     known_epoch_ = std::max(known_epoch_, epoch);
     if (node == label_) {
         // Left by this node's last process, which is gone: no need to wait for its lease.
         log::info("ending the leadership left by an earlier process");
-        co_await state_.revoke(got.entry.lease, constants::kStateCall_s);
+        GetResult own = co_await state_.get(kLeaderKey, constants::kStateCall_s);
+        if (own.reply == Reply::kOk && own.entry.stamp == held->stamp)
+            co_await state_.revoke(own.entry.lease, constants::kStateCall_s);
         co_return;
     }
     if (leader_ != node) {
@@ -96,8 +103,8 @@
         leader_ = node;
         changed_.notify();
     }
-    ChangesResult c = co_await state_.changes(kLeaderKey, got.entry.stamp, constants::kLeadWatch_s);
-    if (c.reply != Reply::kOk && c.reply != Reply::kAbsent) {
+    ChangesResult c = co_await state_.changes(kLeaderKey, got.tide, constants::kLeadWatch_s);
+    if (c.reply != Reply::kOk) {
         pause_longer();
         co_await loop_.sleep(pause_);
     }
--- a/src/lead/leader.cc
+++ b/src/lead/leader.cc
@@ -130,7 +130,9 @@
             continue;
         }
         if (r.reply == Reply::kAbsent && co_await read_records()) {
+            // Never at once again: a service that keeps saying so must not be stampeded.
             step(nullptr);
+            co_await loop_.sleep(constants::kRetryPause_s);
             continue;
         }
         pause = std::clamp(pause * 2, constants::kRetryPause_s, constants::kRetryPauseMax_s);
--- a/tests/controller_test.cc
+++ b/tests/controller_test.cc
@@ -310,6 +310,27 @@
     EXPECT_TRUE(w2.find("job-1/0"));
 }
 
+// The service has forgotten the changes that a watch asks for: the leader reads all records again, page by
+// page, and misses neither a new job nor a withdrawal.
+TEST(Controller, ReadsAllRecordsAgainWhenAWatchComesTooLate) {
+    Site s(2);
+    s.start(0);
+    s.start(1);
+    ASSERT_TRUE(s.until([&] { return s.leader() >= 0; }));
+    int first = s.leader();
+    s.run(1);
+    s.state.page = 2;
+    s.state.oldest = 1000;
+    for (int i = 1; i <= 5; ++i)
+        ASSERT_EQ(s.call(1 - first, "POST", "/v2/runs", job_body("job-" + std::to_string(i))).status, 201);
+    ASSERT_EQ(s.call(1 - first, "POST", "/v2/runs/job-5/withdraw").status, 200);
+    s.run(5);
+    const auto& jobs = s.nodes[static_cast<size_t>(first)]->leader()->jobs();
+    EXPECT_EQ(jobs.size(), 4u) << "the withdrawn one is over and moved";
+    for (int i = 1; i <= 4; ++i) EXPECT_TRUE(jobs.find("job-" + std::to_string(i)));
+    EXPECT_TRUE(s.state.rows.count("f/job-5"));
+}
+
 TEST(Controller, StartsFromKeptMachineTypesWhileTheCloudIsAway) {
     Site s;
     s.start(0);
--- a/tests/standins.cc
+++ b/tests/standins.cc
@@ -116,6 +116,7 @@
     if (r.path == "/changes") {
         std::string prefix = query(r, "prefix");
         uint64_t from = std::stoull(query(r, "from"));
+        if (from < oldest) co_return Response{410, "", 0, ""};
         Seconds end = loop_.now() + std::stod(query(r, "wait_ms")) / 1000;
         while (true) {
             expire();
@@ -142,10 +143,12 @@
         std::vector<std::pair<std::string, const Row*>> found;
         for (const auto& [k, row] : rows)
             if (k.rfind(prefix, 0) == 0 && k > from) found.emplace_back(k, &row);
+        bool more = found.size() > page;
+        if (more) found.resize(page);
         p.map(3).key("rows").list(found.size());
         for (auto& [k, row] : found)
             p.map(3).key("k").text(k).key("data").raw(row->data).key("stamp").count(row->stamp);
-        p.key("has_next").flag(false).key("tide").count(tide);
+        p.key("has_next").flag(more).key("tide").count(tide);
         co_return packed(200, p);
     }
     auto it = rows.find(r.path.substr(6));
--- a/tests/standins.h
+++ b/tests/standins.h
@@ -48,6 +48,8 @@
     std::map<std::string, Row> rows;
     uint64_t tide = 1;
     bool down = false;
+    uint64_t oldest = 0;  // watches from before this revision get 410
+    size_t page = 1000;   // most items of a list
     // Called with each transaction's body before it is carried out; false: the answer is lost, and the
     // transaction is kept in `late` instead.
     std::function<bool(const std::string&)> let_through;
