Give up machines that do not hear, trust no late copy, and let a lone controller go

Cause: a machine whose reports arrive while answers are lost stayed bound for ever and counted as free room; a late copy at a new leader stood in for a machine; one worker that came back had its whole zone relayed; a controller without state service and siblings stayed ready and let each user wait. Each guard was taken out in turn and its test failed.

--- a/src/fleet/cluster.cc
+++ b/src/fleet/cluster.cc
@@ -47,6 +47,30 @@
     return n <= 0 ? 0 : static_cast<uint32_t>(n);
 }
 
+void Host::judge_hearing(const Report& r, bool direct, Seconds lease_s, Seconds now) {
+    auto doubt = [&] {
+        if (unheard_since < 0) unheard_since = now;
+    };
+    if (r.session > session) {
+        // Its lease ended although it was answered well within it.
+        if (answered_at >= 0 && now - answered_at < lease_s / 2) doubt();
+    } else if (direct && answered_direct) {
+        // One that is answered stays and numbers its reports one by one; one that is not has asked others.
+        if (r.seq == answered_seq + 1) {
+            unheard_since = -1;
+        } else {
+            doubt();
+        }
+    }
+    answered_direct = false;
+}
+
+void Host::answered(bool direct, Seconds now) {
+    answered_at = now;
+    answered_seq = seq;
+    answered_direct = direct;
+}
+
 const Flavor* Cluster::flavor(const std::string& name) const {
     for (const auto& f : flavors)
         if (f.name == name) return &f;
@@ -79,7 +103,7 @@
         h->kept_until = 0;
         h->placed = 0;
         h->usable = f && h->current && !h->condemned && !h->deleting && !h->emptying && h->leaves_at < 0 &&
-                    (h->holding || now - h->last_report <= silent_after);
+                    h->unheard_since < 0 && (h->holding || now - h->last_report <= silent_after);
     }
     auto count = [&](Host* h, const std::string& team, const Amount& a) {
         if (h) {
--- a/src/fleet/cluster.h
+++ b/src/fleet/cluster.h
@@ -67,6 +67,17 @@
     std::vector<HostTask> tasks;
     ImageCache cache;
 
+    // Whether it hears what it is told. One whose reports arrive while answers and commands are lost looks
+    // alive and idle, and would be bound to over and over.
+    Seconds unheard_since = -1;    // since when nothing shows that it hears us; negative: it does
+    Seconds answered_at = -1;      // its newest report that was answered 200
+    uint64_t answered_seq = 0;     // the newest number seen of it by then; commands number reports, too
+    bool answered_direct = false;  // on its own connection, and no command was sent to it since
+    // Takes what a report that is newer than all before says of the answers to those; it has not been
+    // taken in yet. `direct`: it came on the worker's own connection.
+    void judge_hearing(const Report& report, bool direct, Seconds lease_s, Seconds now);
+    void answered(bool direct, Seconds now);
+
     // From the cloud.
     MachinePhase phase = MachinePhase::kBooting;
     Seconds born = 0;
--- a/src/fleet/plan.cc
+++ b/src/fleet/plan.cc
@@ -56,8 +56,8 @@
             if (!h->reported || h->phase == MachinePhase::kFailed) continue;
             auto& [quiet, known] = zones[h->zone];
             ++known;
-            if (in_.now - h->last_report > constants::kQuietReports * in_.config.report_s && !h->holding)
-                ++quiet;
+            bool late = in_.now - h->last_report > constants::kQuietReports * in_.config.report_s;
+            if ((late && !h->holding) || h->unheard_since >= 0) ++quiet;
         }
         for (const auto& [name, h] : cluster_.hosts) {
             if (h->deleting) continue;
@@ -65,7 +65,7 @@
             Seconds quiet = in_.now - std::max(h->last_report, in_.leading_since);
             const auto& [silent, known] = zones[h->zone];
             bool cut = silent >= 3 && silent * 2 > known;
-            Seconds patience = cut ? 2 * in_.config.lease_s : constants::kSilent_s;
+            Seconds patience = cut ? 2 * in_.config.lease_s : silent_after();
             if (h->phase == MachinePhase::kFailed) {
                 give_back(*h, "it failed");
             } else if (h->phase == MachinePhase::kRunning && h->reported && !h->holding && quiet > patience) {
@@ -75,10 +75,12 @@
                 give_back(*h, "it never reported");
             } else if (h->phase == MachinePhase::kBooting && f &&
                        in_.now - h->born > constants::kBootPatience * f->boot_s + constants::kBootExtra_s &&
-                       quiet > constants::kSilent_s) {
+                       quiet > silent_after()) {
                 give_back(*h, "it does not come up");
             } else if (h->phase == MachinePhase::kBooting && !f && quiet > patience + in_.config.lease_s) {
                 give_back(*h, "nothing is known of it");  // a record names it, the cloud does not list it
+            } else if (h->unheard_since >= 0 && in_.now - h->unheard_since > unheard_patience(cut)) {
+                give_back(*h, "its reports arrive, but it does not hear their answers");
             } else if (h->emptying && h->idle()) {
                 give_back(*h, "its work was moved");
             } else if (h->condemned && h->idle()) {
@@ -87,6 +89,14 @@
         }
     }
 
+    // A worker silent this long is unreachable: reports are missing, not only on a detour to another node.
+    Seconds silent_after() const {
+        return constants::kQuietReports * in_.config.report_s + constants::kDetour_s;
+    }
+
+    // What runs on such a machine ends with its lease; then nothing is lost by returning it.
+    Seconds unheard_patience(bool cut) const { return (cut ? 2 : 1) * in_.config.lease_s; }
+
     bool leaving(const Host& h) const {
         return h.deleting || h.condemned || h.emptying || h.leaves_at >= 0 || plan_.reasons.count(h.name) > 0;
     }
@@ -95,6 +105,10 @@
         for (const auto& [name, h] : cluster_.hosts) {
             const Flavor* f = cluster_.flavor(h->flavor);
             if (!f || leaving(*h) || h->phase == MachinePhase::kFailed) continue;
+            // A report from before this epoch may be a late copy, even of a machine long deleted: until the
+            // machine takes up the epoch or the cloud lists it, it is no room to count on.
+            if (h->reported && !h->current && !h->listed) continue;
+            if (h->unheard_since >= 0) continue;
             Slot s;
             s.host = h.get();
             s.kind = {h->flavor, h->zone, h->spot};
--- a/src/jobs/table.cc
+++ b/src/jobs/table.cc
@@ -411,6 +411,7 @@
                     if (p.running_since < 0) p.running_since = now;
                     job->started = true;
                 }
+                if (!p.seen && p.sent > 0) host.unheard_since = -1;  // it was launched: an answer arrived
                 p.seen = true;
                 p.phase = t.phase;
                 if (t.phase == TaskPhase::kExited) {
@@ -442,7 +443,13 @@
             // A newer report without the task: every launch sent before it is void, since the worker has
             // one report in flight and drops what answers an older one.
             if (p.sent_seq != 0 && !r.newer_than(p.sent_session, p.sent_seq)) continue;
-            bool lost = p.seen || (p.inherited && job->spec.gang());
+            // Answer after answer carried the launch and nothing came of it: bound to a machine that does
+            // not hear us, the task would wait for ever.
+            if (p.sent >= constants::kUnheardLaunches && host.unheard_since < 0) {
+                host.unheard_since = now;
+                log::info("machine {}: does not hear its answers: launches come to nothing", host.name);
+            }
+            bool lost = p.seen || (p.inherited && job->spec.gang()) || host.unheard_since >= 0;
             if (job->withdrawn || p.stopping || lost) {
                 news = true;
                 if (job->spec.gang() && job->started) job->broken = true;
@@ -501,6 +508,7 @@
         if (!p.inherited && job->committed < p.version) continue;
         if (job->spec.gang() && job->broken) continue;
         out.push_back({Verb::kLaunch, {id, task}, p.attempt, 0});
+        if (p.sent_session != host.session || p.sent_seq != host.seq) ++p.sent;
         p.sent_session = host.session;
         p.sent_seq = host.seq;
     }
--- a/src/jobs/table.h
+++ b/src/jobs/table.h
@@ -16,6 +16,7 @@
     uint64_t version = 0;    // the job's version that first holds it; launched once that is committed
     bool inherited = false;  // from an earlier leader, who may have launched it
     uint64_t sent_session = 0, sent_seq = 0;  // newest report whose answer carried the launch; 0: none
+    int sent = 0;                             // reports whose answers carried it
     bool seen = false;                        // the machine has reported it
     TaskPhase phase = TaskPhase::kFetching;
     Seconds bound_at = 0;
--- a/src/lead/leader.cc
+++ b/src/lead/leader.cc
@@ -245,7 +245,7 @@
     return now < fresh_ + span || now < vouch_(fresh_) + span;
 }
 
-Task<Response> Leader::hello(Report r, Seconds hold) {
+Task<Response> Leader::hello(Report r, Seconds hold, bool direct) {
     Response no{503, "", 0, "application/msgpack"};
     if (r.epoch > term_.epoch) {
         deposed_("a worker has seen a later epoch");
@@ -260,9 +260,18 @@
     Host* h = &cluster_.ensure(name, loop_.now());
     if (h->reported && !r.newer_than(h->session, h->seq)) co_return no;  // a late copy
     uint64_t mine = ++line(name).reports;
+    bool heard = h->unheard_since < 0;
+    h->judge_hearing(r, direct, config_.lease_s, loop_.now());
+    bool first = h->answered_at < 0;
     h->reported = true;
     h->last_report = loop_.now();
+    bool was_current = h->current;
     h->current = r.epoch == term_.epoch;
+    // Also a machine that does not take up this epoch hears nothing.
+    if (h->current && !was_current) h->unheard_since = -1;
+    if (!h->current && !first && h->unheard_since < 0) h->unheard_since = loop_.now();
+    if (heard != (h->unheard_since < 0))
+        log::debug("machine {}: {}", name, heard ? "answers to it seem lost" : "hears us again");
     bool noticed = h->leaves_at >= 0;
     // Only a machine that has seen this epoch can no longer be given launches by an earlier leader, so only
     // then does a task's absence prove anything.
@@ -311,6 +320,7 @@
                                            : "forget",
                    o.name.text(), o.attempt, name);
     ok.body = pack_report_answer(term_.epoch, orders);
+    h->answered(direct && !line(name).ordering, loop_.now());
     co_return ok;
 }
 
@@ -355,6 +365,7 @@
         std::vector<Order> halts = jobs_.orders(*h, false);
         std::erase_if(halts, [](const Order& o) { return o.verb != Verb::kHalt; });
         if (halts.empty()) break;
+        h->answered_direct = false;  // the command numbers a report, whether or not its answer arrives
         auto report = co_await send_orders(loop_, to, term_.epoch, h->session, std::move(halts));
         h = cluster_.host(host);
         if (report && h && report->newer_than(h->session, h->seq)) {
--- a/src/lead/leader.h
+++ b/src/lead/leader.h
@@ -32,7 +32,8 @@
 
     // A worker's report, and the answer to it. 421 means that another leads.
     // `hold`: how long the answer may be held for work that comes.
-    Task<Response> hello(Report report, Seconds hold);
+    // `direct`: it came on the worker's own connection, not through a sibling.
+    Task<Response> hello(Report report, Seconds hold, bool direct);
 
     // How many machines have reported to this leader, and for how long it has known its view.
     size_t machines_reported() const;
--- a/src/node.cc
+++ b/src/node.cc
@@ -95,11 +95,15 @@
     Seconds age = loop_.now() - state_.last_contact();
     if (state_.last_contact() >= 0 && age < constants::kAlone_s) return true;
     // In an outage for all, users are better answered than turned away; refused alone, others serve them.
-    for (const auto& p : siblings_.peers())
-        if (loop_.now() - p.heard < constants::kBeatFresh_s && p.beat.ready &&
-            p.beat.state_age_ms < constants::kAlone_s * 1000 / 2)
-            return false;
-    return true;
+    bool company = siblings_.peers().empty();
+    for (const auto& p : siblings_.peers()) {
+        if (loop_.now() - p.heard >= constants::kBeatFresh_s) continue;
+        company = true;
+        if (p.beat.ready && p.beat.state_age_ms < constants::kAlone_s * 1000 / 2) return false;
+    }
+    // Without the state service and all siblings this node is more likely cut off than they are all down:
+    // a user who stays with it would ask in vain until the cut ends.
+    return company || age < constants::kCutOff_s;
 }
 
 Task<void> Controller::follow_election() {
@@ -159,12 +163,13 @@
 Task<Response> Controller::hello(std::string body) {
     auto report = Report::parse(body);
     if (!report) co_return status(400);
-    std::string host = report->host, zone = report->zone;
+    Report seen = *report;
+    seen.tasks.clear();
     hellos_.push_back(loop_.now());
     while (hellos_.size() > constants::kPointed || loop_.now() - hellos_.front() > constants::kHelloWindow_s)
         hellos_.pop_front();
     if (auto leader = leader_) {
-        Response r = co_await leader->hello(std::move(*report), constants::kHoldReport_s);
+        Response r = co_await leader->hello(std::move(*report), constants::kHoldReport_s, true);
         if (r.status == 200) co_return r;
         if (leader_ == leader && election_.leading()) co_return r;
     }
@@ -172,14 +177,19 @@
     if (to.empty() || to == config_.label)
         co_return Response{421, pack_redirect(""), 0, "application/msgpack"};
     if (pointed_.size() > constants::kPointed) pointed_.clear();
-    Pointed& p = pointed_[host];
+    Pointed& p = pointed_[seen.host];
     Seconds now = loop_.now();
-    bool back = p.leader == to && now - p.at < constants::kRelayAfter_s;
-    // One worker of a zone that comes back speaks for the others there.
-    if (cut_zones_.size() > constants::kPointed) cut_zones_.clear();
-    Pointed& z = cut_zones_[zone];
-    if (back && p.relayed_since < 0) z = {to, now, now};
-    back = back || (z.leader == to && now - z.at < constants::kRelayAfter_s);
+    // A copy of the report that was pointed, or of an older one, does not show that its sender came back.
+    bool newer = seen.newer_than(p.session, p.seq);
+    bool back = p.leader == to && now - p.at < constants::kRelayAfter_s && newer;
+    if (newer) {
+        p.session = seen.session;
+        p.seq = seen.seq;
+    }
+    if (came_back_.size() > constants::kPointed) came_back_.clear();
+    if (back && p.relayed_since < 0) came_back_[seen.zone][seen.host] = now;
+    // Workers of a zone cut off from the leader are passed on without being pointed there first.
+    back = back || (newer && zone_cut(seen.zone));
     if (back && (p.relayed_since < 0 || now - p.relayed_since < constants::kRelayFor_s)) {
         // It was pointed to the leader and is here again: there is a cut between the two.
         if (p.relayed_since < 0 || p.leader != to) p.relayed_since = now;
@@ -189,15 +199,23 @@
         if (r && r->status == 200) co_return *r;
         co_return Response{421, pack_redirect(""), 0, "application/msgpack"};
     }
-    p = {to, now, -1};
+    p.leader = to;
+    p.at = now;
+    p.relayed_since = -1;
     co_return Response{421, pack_redirect(to), 0, "application/msgpack"};
 }
 
+bool Controller::zone_cut(const std::string& zone) {
+    auto& back = came_back_[zone];
+    std::erase_if(back, [&](const auto& w) { return loop_.now() - w.second > constants::kRelayAfter_s; });
+    return back.size() >= constants::kCutWitnesses;
+}
+
 Task<Response> Controller::relayed(std::string body) {
     auto report = Report::parse(body);
     auto leader = leader_;
     if (!report || !leader) co_return status(421);
-    co_return co_await leader->hello(std::move(*report), constants::kHoldRelayed_s);
+    co_return co_await leader->hello(std::move(*report), constants::kHoldRelayed_s, false);
 }
 
 Response Controller::operator_page(const std::string& path) {
--- a/src/node.h
+++ b/src/node.h
@@ -45,10 +45,12 @@
         std::string leader;
         Seconds at = 0;
         Seconds relayed_since = -1;
+        uint64_t session = 0, seq = 0;  // the report that was pointed: a late copy of it shows nothing
     };
     std::unordered_map<std::string, Pointed> pointed_;
-    // Zones whose workers cannot reach a leader: their reports are passed on without pointing them first.
-    std::map<std::string, Pointed> cut_zones_;
+    // Of each zone the workers that came back of late. One may be deaf; several speak for the others.
+    std::map<std::string, std::map<std::string, Seconds>> came_back_;
+    bool zone_cut(const std::string& zone);
     std::deque<Seconds> hellos_;  // when workers' reports came
     Siblings siblings_;
     HttpServer server_;
--- a/src/users/service.cc
+++ b/src/users/service.cc
@@ -49,6 +49,12 @@
     co_return co_await withdraw(id);
 }
 
+// A node cut off from the state service would let each user wait for an answer that does not come. The
+// election's watches, which end every 2 s, notice when it is back.
+bool UserService::state_away() const {
+    return state_.last_contact() >= 0 && loop_.now() - state_.last_contact() > constants::kAway_s;
+}
+
 void UserService::keep_final(const std::string& id, const FinalRecord& f) {
     if (!finals_.emplace(id, f).second) return;
     finals_order_.push_back(id);
@@ -67,6 +73,7 @@
     if (cached != finals_.end()) {
         final = cached->second;
     } else {
+        if (state_away()) co_return k;
         GetResult live = co_await state_.get(live_key(id), until - loop_.now());
         if (live.reply == Reply::kOk) {
             auto record = JobRecord::unpack(live.entry.data);
@@ -122,6 +129,7 @@
         if (k.reply != Reply::kAbsent) co_return unavailable();
         co_return plain(422, never);
     }
+    if (state_away()) co_return unavailable(503, constants::kRetryAfterOutage_s);
     JobRecord record;
     record.spec = spec;
     record.accepted_wall = loop_.wall();
--- a/src/users/service.h
+++ b/src/users/service.h
@@ -30,6 +30,7 @@
     Task<Response> query(std::string id);
     Task<Response> withdraw(std::string id);
     Task<Known> read(std::string id, Seconds until);
+    bool state_away() const;
     void keep_final(const std::string& id, const FinalRecord& f);
     Response told(const std::string& id, const Known& k, bool counts);
 
--- a/tests/controller_test.cc
+++ b/tests/controller_test.cc
@@ -342,3 +342,126 @@
     ASSERT_TRUE(s.until([&] { return s.call(0, "GET", "/ready").status == 200; }, 10));
     EXPECT_EQ(s.call(0, "POST", "/v2/runs", job_body("job-1")).status, 201);
 }
+
+// A copy of a report that comes late shows neither that its machine came back nor that it is alive, and
+// takes the place of no report.
+TEST(Controller, LateCopiesOfReportsShowNothing) {
+    Site s(2);
+    s.start(0);
+    s.start(1);
+    ASSERT_TRUE(s.until([&] { return s.leader() >= 0; }));
+    int leader = s.leader(), other = 1 - leader;
+    s.run(3);
+    FakeWorker w;
+    std::string pointed = w.report();
+    EXPECT_EQ(s.call(other, "POST", "/hello", pointed).status, 421);
+    s.run(5);
+    EXPECT_EQ(s.call(other, "POST", "/hello", pointed).status, 421) << "not passed on to the leader";
+    s.settle(w);
+    std::string idle = w.report();
+    EXPECT_EQ(s.call(leader, "POST", "/hello", idle).status, 200);
+    ASSERT_EQ(s.call(leader, "POST", "/v2/runs", job_body("job-1")).status, 201);
+    s.hello(w, leader);
+    ASSERT_TRUE(w.find("job-1/0"));
+    s.hello(w, leader);
+    const auto& jobs = s.nodes[static_cast<size_t>(leader)]->leader()->jobs();
+    ASSERT_EQ(jobs.find("job-1")->live.size(), 1u);
+    Seconds heard = s.nodes[static_cast<size_t>(leader)]->leader()->cluster().hosts.at(w.name)->last_report;
+    for (int i = 0; i < 3; ++i) {
+        s.run(s.configs[0].lease_s);
+        EXPECT_EQ(s.call(leader, "POST", "/hello", idle).status, 503);
+    }
+    auto l = s.nodes[static_cast<size_t>(leader)]->leader();
+    auto it = l->cluster().hosts.find(w.name);
+    EXPECT_TRUE(it == l->cluster().hosts.end() || it->second->last_report == heard)
+        << "it was not taken for alive";
+    EXPECT_FALSE(s.cloud.deleted.empty()) << "but replaced";
+}
+
+// A controller without the state service and its siblings: users hear so at once, the load balancer is told
+// to go elsewhere, and workers are answered as long as that is safe and then sent on.
+TEST(Controller, ALoneControllerIsHonestAndLetsGo) {
+    Site s(2);
+    s.start(0);
+    s.start(1);
+    ASSERT_TRUE(s.until([&] { return s.leader() >= 0; }));
+    int first = s.leader();
+    s.run(6);
+    FakeWorker w;
+    s.settle(w);
+    ASSERT_EQ(s.call(first, "POST", "/v2/runs", job_body("job-1")).status, 201);
+    s.hello(w, first);
+    s.state.silent = true;
+    s.kill(1 - first);
+    Seconds began = s.loop.now();
+    s.run(8);
+    EXPECT_EQ(s.hello(w, first), 200) << "what runs goes on";
+    for (const char* path : {"/v2/runs/job-1", "/v2/runs/job-2"}) {
+        Seconds asked = s.loop.now();
+        EXPECT_EQ(s.call(first, "GET", path).status, 503) << "it can say neither";
+        EXPECT_LT(s.loop.now() - asked, 0.5);
+    }
+    EXPECT_EQ(s.call(first, "POST", "/v2/runs", job_body("job-3")).status, 503);
+    EXPECT_EQ(s.call(first, "POST", "/v2/runs", "\xc1").status, 400) << "bad input is told all the same";
+    s.run(5);
+    EXPECT_EQ(s.call(first, "GET", "/ready").status, 503);
+    const Config& c = s.configs[0];
+    s.run(c.cancel_s - c.lease_s - (s.loop.now() - began));
+    EXPECT_EQ(s.hello(w, first), 503);
+    s.state.silent = false;
+    s.start(1 - first);
+    s.run(10);
+    EXPECT_EQ(s.call(first, "GET", "/v2/runs/job-1").status, 200);
+    EXPECT_EQ(s.call(first, "GET", "/ready").status, 200);
+}
+
+// A process is killed while its election is on its way, is back at once, and the old transaction arrives
+// in the midst of the new election, before or after it. One leads, in an epoch that nobody had.
+TEST(Controller, AProcessBackInTheMidstOfItsElectionLeadsOnlyInANewEpoch) {
+    for (bool late_first : {true, false}) {
+        Site s;
+        s.state.let_through = [&](const std::string& body) {
+            return body.find("term") == std::string::npos || !s.state.late.empty();
+        };
+        s.start(0);
+        ASSERT_TRUE(s.until([&] { return !s.state.late.empty(); }));
+        std::string old = s.state.late.at(0);
+        s.kill(0);
+        if (late_first) {
+            EXPECT_EQ(s.state.apply(old).status, 200);
+        }
+        s.start(0);
+        ASSERT_TRUE(s.until([&] { return s.leader() == 0; }, 5));
+        uint64_t epoch = s.nodes[0]->election().epoch();
+        EXPECT_EQ(epoch, late_first ? 2u : 1u) << "the old transaction took effect, or never will";
+        EXPECT_NE(s.state.apply(old).status, 200) << "its conditions or its lease are gone";
+        s.run(5);
+        EXPECT_EQ(s.nodes[0]->election().epoch(), epoch);
+        EXPECT_EQ(s.leader(), 0);
+    }
+}
+
+// Once all troubles are over no job may be refused again and again: not for the load of other questions,
+// and not by a node that was cut off.
+TEST(Controller, AnswersEveryQuestionOnceTheTroublesAreOver) {
+    Site s(2);
+    s.start(0);
+    s.start(1);
+    ASSERT_TRUE(s.until([&] { return s.leader() >= 0; }));
+    s.run(1);
+    for (int i = 1; i <= 20; ++i)
+        ASSERT_EQ(s.call(i % 2, "POST", "/v2/runs", job_body("job-" + std::to_string(i))).status, 201);
+    ASSERT_EQ(s.call(0, "POST", "/v2/runs/job-20/withdraw").status, 200);
+    s.state.silent = true;
+    s.run(20);
+    s.kill(0);
+    s.kill(1);
+    s.start(0);
+    s.run(1);
+    s.start(1);
+    s.state.silent = false;
+    s.run(8);
+    for (int node : {0, 1})
+        for (int i = 1; i <= 20; ++i)
+            EXPECT_EQ(s.call(node, "GET", "/v2/runs/job-" + std::to_string(i)).status, 200) << i;
+}
--- a/tests/lifecycle_test.cc
+++ b/tests/lifecycle_test.cc
@@ -1,6 +1,7 @@
 // Jobs, placements and matching, without I/O: each test is a way in which a rule could be broken.
 #include <gtest/gtest.h>
 
+#include "base/constants.h"
 #include "fleet/plan.h"
 #include "match/match.h"
 #include "standins.h"
@@ -524,3 +525,78 @@
     EXPECT_EQ(stopping(), 1) << "for another team's guarantee, one task is enough";
     EXPECT_GT(std::max(low.live.at(0).grace_s, low.live.at(1).grace_s), 2) << "with time to save";
 }
+
+// Launch after launch comes to nothing although newer reports arrive: the machine does not hear its answers.
+// The task goes elsewhere, nothing more is bound there, and the machine is replaced.
+TEST_F(Lifecycle, GivesUpAMachineThatReportsButDoesNotHear) {
+    Job& j = add(spec("job-1", 1));
+    Host &deaf = machine("vm-1"), &other = machine("vm-2");
+    other.condemned = true;
+    ASSERT_EQ(pull({&deaf}).size(), 1u);
+    committed(j);
+    for (int i = 0; i < constants::kUnheardLaunches; ++i) {
+        ASSERT_EQ(j.live.count(0), 1u);
+        EXPECT_EQ(launches(jobs.orders(deaf, true)), 1u);
+        jobs.apply(cluster, deaf, report(deaf, {}), true, now += 3);
+    }
+    EXPECT_TRUE(j.live.empty());
+    EXPECT_TRUE(pull({&deaf}).empty()) << "no room to count on";
+    other.condemned = false;
+    EXPECT_EQ(pull({&deaf, &other}).size(), 1u);
+    auto returned = [&] {
+        FleetInput in{config, settings, now, 0, {}, {}, true, false};
+        return plan_fleet(cluster, jobs, in).reasons.count("vm-1");
+    };
+    EXPECT_EQ(returned(), 0u);
+    now += config.lease_s + 1;
+    deaf.last_report = other.last_report = now;
+    cluster.recount(jobs, now, 6);
+    EXPECT_EQ(returned(), 1u);
+}
+
+// What its reports say of the answers to them: one that is answered stays and numbers its reports one by
+// one, and its lease does not end.
+TEST_F(Lifecycle, SeesFromReportsWhetherAnswersAreHeard) {
+    Host& h = machine("vm-1");
+    auto next = [&](uint64_t session, uint64_t seq, bool direct = true) {
+        Report r = report(h, {});
+        r.session = session;
+        r.seq = seq;
+        h.judge_hearing(r, direct, config.lease_s, now += 3);
+        jobs.apply(cluster, h, r, true, now);
+        h.answered(direct, now);
+        return h.unheard_since < 0;
+    };
+    EXPECT_TRUE(next(1, 10));
+    EXPECT_TRUE(next(1, 11));
+    EXPECT_FALSE(next(1, 14)) << "it has asked others in between";
+    EXPECT_FALSE(next(1, 15, false)) << "a relayed report shows nothing";
+    EXPECT_FALSE(next(1, 16));
+    EXPECT_TRUE(next(1, 17));
+    h.answered(false, now);
+    EXPECT_TRUE(next(1, 20)) << "a command's answer may have taken a number";
+    EXPECT_FALSE(next(2, 21)) << "its lease has ended although it was answered";
+    h.unheard_since = -1;
+    now += config.lease_s;
+    EXPECT_TRUE(next(3, 40)) << "it was silent for a lease";
+}
+
+// A new leader gets a late copy of a report, from before its epoch, of a machine that was deleted long ago.
+TEST_F(Lifecycle, ALateCopyAtANewLeaderIsNoRoom) {
+    settings.max_machines = 5;
+    add(spec("job-1", 2));
+    Host& h = machine("vm-1");
+    h.current = false;
+    h.last_report = now;
+    cluster.recount(jobs, now, 6);
+    EXPECT_FALSE(h.usable);
+    auto rented = [&] {
+        FleetInput in{config, settings, now, now, {}, {}, true, false};
+        int n = 0;
+        for (auto& r : plan_fleet(cluster, jobs, in).rent) n += r.number;
+        return n;
+    };
+    EXPECT_EQ(rented(), 1) << "it does not stand in for a machine";
+    h.listed = true;
+    EXPECT_EQ(rented(), 0) << "one that the cloud lists does";
+}
--- a/tests/standins.cc
+++ b/tests/standins.cc
@@ -86,6 +86,7 @@
 }
 
 Task<Response> FakeState::handle(Request r) {
+    if (silent) co_await loop_.sleep(1e6);
     if (down && r.path != "/changes") co_return Response{503, "", 0, ""};
     expire();
     Packer p;
@@ -244,7 +245,7 @@
     HttpClient http(loop, node, 1);
     std::string body = report();
     Answer a = co_await http.call("POST", "/hello", body, 4.0);
-    if (a.status == 200) carry_out(a.body);
+    if (a.status == 200 && !deaf) carry_out(a.body);
     co_return a.status;
 }
 
--- a/tests/standins.h
+++ b/tests/standins.h
@@ -48,6 +48,7 @@
     std::map<std::string, Row> rows;
     uint64_t tide = 1;
     bool down = false;
+    bool silent = false;  // requests get no answer, as behind a cut
     uint64_t oldest = 0;  // watches from before this revision get 410
     size_t page = 1000;   // most items of a list
     // Called with each transaction's body before it is carried out; false: the answer is lost, and the
@@ -103,6 +104,7 @@
     std::vector<ReportedTask> tasks;
 
     std::string report();
+    bool deaf = false;  // its reports arrive, the answers to them do not
     // Reports to a node and carries out what it answers; the status.
     Task<int> hello(Loop& loop, Address node);
     void carry_out(const std::string& body);
