--- a/src/lead/leader.cc
+++ b/src/lead/leader.cc
@@ -33,6 +33,8 @@
               std::max(2.0, config.write_rps * constants::kLeaderShare)),
       ready_(loop),
       dirty_(loop),
+      ask_(loop),
+      round_done_(loop),
       scope_(loop) {
     cluster_.flavors = std::move(flavors);
 }
@@ -49,6 +51,7 @@
     stopped_ = true;
     scope_.cancel();
     ready_.notify();
+    round_done_.notify();
     for (auto& [name, l] : lines_) l->wake.notify();
 }
 
@@ -72,6 +75,7 @@
     loaded_at_ = loop_.now();
     log::info("view rebuilt from {} records in {:.0f} ms", jobs_.size(), (loaded_at_ - began) * 1000);
     ready_.notify();
+    spawn(rounds(), "rounds");
     spawn(watch(), "watch");
     spawn(commit(), "commit");
     spawn(read_prices(), "prices");
@@ -126,12 +130,12 @@
             for (const auto& c : r.changes) take_change(c);
             tide_ = std::max(tide_, r.tide);
             fresh_ = std::max(fresh_, sent);
-            if (!r.changes.empty()) step(nullptr);
+            if (!r.changes.empty()) ask_round();
             continue;
         }
         if (r.reply == Reply::kAbsent && co_await read_records()) {
             // Never at once again: a service that keeps saying so must not be stampeded.
-            step(nullptr);
+            ask_round();
             co_await loop_.sleep(constants::kRetryPause_s);
             continue;
         }
@@ -201,7 +205,7 @@
             for (const auto& id : ids)
                 if (std::find(r.failed.begin(), r.failed.end(), live_key(id)) != r.failed.end())
                     co_await reread(id);
-            step(nullptr);
+            ask_round();
             continue;
         }
         if (r.reply == Reply::kRefused) writes_.drain(loop_.now());
@@ -278,7 +282,23 @@
     jobs_.apply(cluster_, *h, r, h->current, loop_.now());
     if (h->leaves_at >= 0 && !noticed) drain(*h);
     line(name).wake.notify();  // an older report of it, if one is held, is let go
-    step(h);
+    struct Held {
+        Leader& l;
+        const std::string& name;
+        ~Held() {
+            if (Host* x = l.cluster_.host(name)) x->holding = false;
+        }
+    };
+    {
+        // It asks for work in the next round.
+        Held held{*this, name};
+        h->holding = true;
+        uint64_t round = rounds_;
+        ask_round();
+        Seconds until = std::min(began + hold, loop_.now() + constants::kRoundWait_s);
+        while (rounds_ == round && !stopped_)
+            if (co_await loop_.wait(round_done_, until) == Wake::kTimeout) break;
+    }
 
     // A commit is waited for from when it is needed, which may be late in a hold, but not past the time at
     // which the worker gives up.
@@ -293,17 +313,11 @@
                 commit_until =
                     std::min(loop_.now() + constants::kCommitWait_s, began + hold + constants::kCommitLast_s);
             until = commit_until;
-        } else if (h->usable && h->idle() && h->tasks.empty()) {
+        } else if (h->usable && h->idle()) {
             until = began + hold;
         }
         if (loop_.now() >= until) break;
-        struct Held {
-            Leader& l;
-            const std::string& name;
-            ~Held() {
-                if (Host* x = l.cluster_.host(name)) x->holding = false;
-            }
-        } held{*this, name};
+        Held held{*this, name};
         h->holding = !commits;
         co_await loop_.wait(line(name).wake, until);
     }
@@ -333,13 +347,33 @@
     }
 }
 
-void Leader::step(Host* asker) {
+// Matching looks at all machines and the queue's head. Done for each report by itself it would cost the
+// number of machines squared, and at a take-over or in a crowd take the leader's whole processor share: what
+// comes within a round is decided together.
+Task<void> Leader::rounds() {
+    while (true) {
+        while (!wanted_) co_await loop_.wait(ask_, -1);
+        if (loop_.now() < round_at_ + constants::kRound_s)
+            co_await loop_.sleep(round_at_ + constants::kRound_s - loop_.now());
+        wanted_ = false;
+        round_at_ = loop_.now();
+        step();
+        ++rounds_;
+        round_done_.notify();
+    }
+}
+
+void Leader::ask_round() {
+    wanted_ = true;
+    ask_.notify();
+}
+
+void Leader::step() {
     if (!loaded_ || stopped_) return;
     cluster_.recount(jobs_, loop_.now(), constants::kFreshReports * config_.report_s);
     MatchInput in{config_, settings_, loop_.now(), {}};
-    if (asker) in.askers.push_back(asker);
     for (auto& [name, h] : cluster_.hosts)
-        if (h->holding && h.get() != asker) in.askers.push_back(h.get());
+        if (h->holding) in.askers.push_back(h.get());
     for (const auto& b : match(cluster_, jobs_, in))
         log::debug("bound {}/{} attempt {} to {}", b.job->spec.id, b.task, b.job->live.at(b.task).attempt,
                    b.host->name);
@@ -370,7 +404,7 @@
         h = cluster_.host(host);
         if (report && h && report->newer_than(h->session, h->seq)) {
             jobs_.apply(cluster_, *h, *report, false, loop_.now());
-            step(nullptr);
+            ask_round();
         }
     } while (line(host).again);
     line(host).ordering = false;
@@ -435,7 +469,7 @@
 Task<void> Leader::run_fleet() {
     while (true) {
         co_await loop_.sleep(constants::kFleetTick_s);
-        step(nullptr);  // time has passed: what was held may go
+        ask_round();  // time has passed: what was held may go
         if (cluster_.flavors.empty()) continue;
         // The machine list lags; what an earlier leader rented shows up only after that.
         if (term_.epoch > 1 && loop_.now() - loaded_at_ < constants::kLeaderSettle_s) continue;
@@ -521,7 +555,7 @@
         wake(name);
         gone_.insert(name);
     }
-    step(nullptr);
+    ask_round();
 }
 
 size_t Leader::machines_reported() const {
--- a/src/lead/leader.h
+++ b/src/lead/leader.h
@@ -67,7 +67,9 @@
     Task<void> halt(std::string host);
 
     void spawn(Task<void> task, const char* name);
-    void step(Host* asker);  // matches, and sends off what came of it
+    Task<void> rounds();
+    void ask_round();
+    void step();  // matches, and sends off what came of it
     void drain(Host& host);
     void wake(const std::string& host);
     Line& line(const std::string& host);
@@ -110,7 +112,10 @@
         double booting = 0, idle = 0, unused = 0, starting = 0, running = 0;
     } spent_;
     Bucket writes_;
-    Signal ready_, dirty_;
+    bool wanted_ = false;  // a round of matching is wanted
+    uint64_t rounds_ = 0;
+    Seconds round_at_ = -1e9;
+    Signal ready_, dirty_, ask_, round_done_;
     Scope scope_;
 };
 
--- a/tests/controller_test.cc
+++ b/tests/controller_test.cc
@@ -366,6 +366,8 @@
     s.hello(w, leader);
     const auto& jobs = s.nodes[static_cast<size_t>(leader)]->leader()->jobs();
     ASSERT_EQ(jobs.find("job-1")->live.size(), 1u);
+    EXPECT_EQ(s.call(leader, "POST", "/hello", idle).status, 503) << "older than what is known";
+    EXPECT_EQ(jobs.find("job-1")->live.size(), 1u) << "it proves no absence";
     Seconds heard = s.nodes[static_cast<size_t>(leader)]->leader()->cluster().hosts.at(w.name)->last_report;
     for (int i = 0; i < 3; ++i) {
         s.run(s.configs[0].lease_s);
