--- a/src/config/config.h
+++ b/src/config/config.h
@@ -48,13 +48,14 @@
 
 // Operators' settings with their defaults; every name here is a name in the file.
 struct Settings {
-    Seconds hold_s = 10;         // a task is held this long for an idle holder of its image
-    Seconds similar_age_s = 15;  // tasks whose ages differ by less may overtake for the cache's sake
-    Seconds age_bound_s = 60;    // a task that waited longer goes first
-    int min_machines = 0;        // per zone: rented even without work
-    int max_machines = 200;      // per zone
-    int min_idle_machines = 0;   // per zone: kept ready for the next job
-    Seconds idle_return_s = 20;  // a machine idle this long is returned
+    Seconds hold_s = 10;          // a task is held this long for an idle holder of its image
+    Seconds similar_age_s = 15;   // tasks whose ages differ by less may overtake for the cache's sake
+    Seconds age_bound_s = 60;     // a task that waited longer goes first among those of its priority
+    Seconds begin_bound_s = 150;  // a job of which nothing began for so long goes before all others
+    int min_machines = 0;         // per zone: rented even without work
+    int max_machines = 200;       // per zone
+    int min_idle_machines = 0;    // per zone: kept ready for the next job
+    Seconds idle_return_s = 20;   // a machine idle this long is returned
     Seconds calm_s = 30;  // no job for this long: idle machines go back at once, work is moved together
     Seconds preempt_after_s = 0;  // work waits this long before it preempts
 
--- a/src/config/settings.cc
+++ b/src/config/settings.cc
@@ -29,6 +29,7 @@
 const Field kFields[] = {
     {"hold-s", 0, 600, [](Settings& s, double v) { s.hold_s = v; }},
     {"similar-age-s", 0, 3600, [](Settings& s, double v) { s.similar_age_s = v; }},
+    {"begin-bound-s", 0, 86400, [](Settings& s, double v) { s.begin_bound_s = v; }},
     {"age-bound-s", 0, 86400, [](Settings& s, double v) { s.age_bound_s = v; }},
     {"min-machines", 0, 10000, [](Settings& s, double v) { s.min_machines = static_cast<int>(v); }, true},
     {"max-machines", 0, 10000, [](Settings& s, double v) { s.max_machines = static_cast<int>(v); }, true},
--- a/src/fleet/cluster.cc
+++ b/src/fleet/cluster.cc
@@ -7,10 +7,6 @@
 
 namespace hareshore {
 
-namespace {
-constexpr double kEps = 1e-9;  // sums of decimals such as 0.1 are not exact
-}
-
 void ImageCache::use(const std::string& image, double gb) {
     images_.remove_if([&](const Image& i) { return i.name == image; });
     images_.push_front({image, gb});
@@ -137,11 +133,13 @@
     }
 }
 
-bool Cluster::within_limit(const Config& config, const JobSpec& s, uint32_t n) const {
+bool Cluster::within_limit(const Config& config, const JobSpec& s, uint32_t n, TeamUse kept) const {
     const Team* t = config.team(s.team);
     if (!t) return false;
     auto it = teams.find(s.team);
     TeamUse use = it == teams.end() ? TeamUse{} : it->second;
+    use.cpus += kept.cpus;
+    use.gpus += kept.gpus;
     if (t->cpus_max > 0 && use.cpus + n * s.cpus > t->cpus_max + kEps) return false;
     return !(t->gpus_max > 0 && use.gpus + n * s.gpus > t->gpus_max + kEps);
 }
--- a/src/fleet/cluster.h
+++ b/src/fleet/cluster.h
@@ -32,6 +32,8 @@
     std::list<Image> images_;  // most recently used first
 };
 
+inline constexpr double kEps = 1e-9;  // sums of decimals such as 0.1 are not exact
+
 struct Amount {
     double cpus = 0, gpus = 0, memory_gb = 0;
     Amount& operator+=(const Amount& o);
@@ -118,7 +120,8 @@
     Host& ensure(const std::string& name, Seconds now);
     // Computes room and team use anew: placements and reported tasks both count, each task once.
     void recount(JobTable& jobs, Seconds now, Seconds silent_after);
-    bool within_limit(const Config& config, const JobSpec& spec, uint32_t tasks) const;
+    // Whether the team's limit allows so many more tasks beside what it uses and what is kept.
+    bool within_limit(const Config& config, const JobSpec& spec, uint32_t tasks, TeamUse kept = {}) const;
 };
 
 }  // namespace hareshore
--- a/src/match/match.cc
+++ b/src/match/match.cc
@@ -58,14 +58,19 @@
         Queued e;
         e.job = job.get();
         e.entitled = entitled.count(job.get()) > 0;
+        e.starved = in.now - job->accepted > in.settings.begin_bound_s && job->live.empty() &&
+                    job->done.empty() && !job->blamed;
         e.aged = in.now - job->waiting_since > in.settings.age_bound_s;
         e.late = !job->spec.gang() && job->late(in.config, in.now);
         q.push_back(e);
     }
     std::sort(q.begin(), q.end(), [](const Queued& a, const Queued& b) {
-        return std::tuple(!a.entitled, -static_cast<int>(a.job->spec.rank), a.late, !a.aged, a.job->accepted,
-                          a.job->spec.id) < std::tuple(!b.entitled, -static_cast<int>(b.job->spec.rank),
-                                                       b.late, !b.aged, b.job->accepted, b.job->spec.id);
+        auto key = [](const Queued& q) {
+            if (q.starved) return std::tuple(false, false, 0, false, false, q.job->accepted, q.job->spec.id);
+            return std::tuple(true, !q.entitled, -static_cast<int>(q.job->spec.rank), q.late, !q.aged,
+                              q.job->accepted, q.job->spec.id);
+        };
+        return key(a) < key(b);
     });
     return q;
 }
@@ -91,10 +96,21 @@
     }
 
   private:
+    struct Victim {
+        Job* job = nullptr;
+        uint32_t task = 0;
+    };
+
     static bool same_class(const Queued& a, const Queued& b) {
+        if (a.starved || b.starved) return a.starved == b.starved;
         return a.entitled == b.entitled && a.job->spec.rank == b.job->spec.rank;
     }
 
+    bool within_limit(const JobSpec& s, uint32_t n) const {
+        auto kept = kept_limit_.find(s.team);
+        return cluster_.within_limit(in_.config, s, n, kept == kept_limit_.end() ? TeamUse{} : kept->second);
+    }
+
     bool may_start(Job& job) {
         if (in_.now < job.not_before) {
             job.why = Wait::kBackoff;
@@ -151,7 +167,7 @@
         for (const auto& q : jobs) {
             if (q.job->spec.gang() && q.job->spec.tasks > 1) {
                 serve_singles(std::exchange(singles, {}));
-                if (may_start(*q.job)) place_gang(*q.job);
+                if (may_start(*q.job)) place_gang(q);
                 make_room(q);
             } else {
                 singles.push_back(q);
@@ -162,6 +178,8 @@
 
     void serve_singles(const std::vector<Queued>& jobs) {
         if (jobs.empty()) return;
+        for (const auto& q : jobs)
+            if (q.job->spec.gang() && may_start(*q.job) && !within_limit(q.job->spec, 1)) make_limit(q, 1);
         for (Host* h : in_.askers)
             if (h->usable) pull(jobs, *h);
         for (const auto& q : jobs) make_room(q);
@@ -184,7 +202,9 @@
             if (first && (first->aged || job.accepted - first->job->accepted > in_.settings.similar_age_s))
                 break;
             if (job.pending.empty() || (job.spec.gang() && job.spec.tasks > 1) || !may_start(job)) continue;
-            if (!cluster_.within_limit(in_.config, job.spec, 1)) {
+            // A starved array is let begin; the rest of it takes its usual place.
+            if (q.starved && !job.live.empty()) continue;
+            if (!within_limit(job.spec, 1)) {
                 job.why = Wait::kTeamLimit;
                 continue;
             }
@@ -245,7 +265,8 @@
         return {};
     }
 
-    void place_gang(Job& job) {
+    void place_gang(const Queued& q) {
+        Job& job = *q.job;
         if (job.pending.empty()) return;
         bool fresh = job.live.empty();
         // Tasks of the last attempt are still on their machines; a gang that has started or is ending
@@ -255,8 +276,9 @@
             return;
         }
         auto n = static_cast<uint32_t>(job.pending.size());
-        if (!cluster_.within_limit(in_.config, job.spec, n)) {
+        if (!within_limit(job.spec, n)) {
             job.why = Wait::kTeamLimit;
+            make_limit(q, n);
             return;
         }
         if (!job.room_in_record(in_.config.value_bytes, n)) {
@@ -286,6 +308,41 @@
         for (Host* h : best) bind(job, *job.pending.first(), *h, job.attempt);
     }
 
+    // A gang that its team's limit lets starve. Its team's own work of lower priority yields, and what comes
+    // free of the limit is kept for it: the team's small jobs would else take each piece, and it would not
+    // start while they keep coming. Not before it starves: limit that is kept is not used.
+    void make_limit(const Queued& q, uint32_t n) {
+        const JobSpec& s = q.job->spec;
+        const Team* team = in_.config.team(s.team);
+        if (!q.starved || !team || ++sought_ > constants::kRoomJobs) return;
+        std::vector<Victim> victims;
+        TeamUse freed;
+        for (const auto& [id, v] : jobs_.all()) {
+            if (v->spec.team != s.team) continue;
+            bool yields = v->spec.rank < s.rank && !v->withdrawn && (!v->spec.gang() || v->spec.tasks == 1);
+            for (const auto& [task, p] : v->live) {
+                if (p.stopping) {
+                    freed.cpus += v->spec.cpus;
+                    freed.gpus += v->spec.gpus;
+                } else if (yields) {
+                    victims.push_back({v.get(), task});
+                }
+            }
+        }
+        auto enough = [&] { return cluster_.within_limit(in_.config, s, n, {-freed.cpus, -freed.gpus}); };
+        sort_by_loss(victims);
+        size_t count = 0;
+        for (; !enough() && count < victims.size(); ++count) {
+            freed.cpus += victims[count].job->spec.cpus;
+            freed.gpus += victims[count].job->spec.gpus;
+        }
+        if (enough()) {
+            for (size_t i = 0; i < count; ++i) jobs_.stop(*victims[i].job, victims[i].task, in_.now, true);
+        }
+        kept_limit_[s.team].cpus += n * s.cpus;
+        kept_limit_[s.team].gpus += n * s.gpus;
+    }
+
     // A gang whose image takes long to fetch, and whose holders are busy with work that yields and loses
     // little: that work is stopped at once and the gang waits for the room, rather than for the fetch.
     void claim_holders(const Queued& q) {
@@ -293,7 +350,7 @@
         if (job.claim_for == job.waiting_since || !job.live.empty() || !may_start(job)) return;
         job.claim_for = job.waiting_since;
         uint32_t n = job.pending.size();
-        if (!cluster_.within_limit(in_.config, job.spec, n)) return;
+        if (!within_limit(job.spec, n)) return;
         std::vector<Offer> offers;
         for (Host* h : usable_) {
             if (!job.spec.allows(h->flavor, h->zone, h->spot) || avoids(job, *h)) continue;
@@ -328,10 +385,6 @@
 
     // --- preemption and reservation -------------------------------------------------------------------
 
-    struct Victim {
-        Job* job = nullptr;
-        uint32_t task = 0;
-    };
     // What one machine can give: places that are free or being freed, those that more victims free, and
     // those that come free by themselves.
     struct Offer {
@@ -351,11 +404,28 @@
 
     bool yields(const Job& victim, const Queued& q) const {
         if (&victim == q.job || victim.withdrawn) return false;
+        // Stopped, its only task would be what a starved job began with, and it would take the room again.
+        if (in_.now - victim.accepted > in_.settings.begin_bound_s && victim.done.empty() &&
+            victim.live.size() == 1)
+            return false;
         if (victim.spec.rank < q.job->spec.rank && !(entitled_.count(&victim) > 0 && !q.entitled))
             return true;
         return q.entitled && victim.spec.team != q.job->spec.team && entitled_.count(&victim) == 0;
     }
 
+    // Those that lose least go first: arrays before gangs, what can save before what cannot, the lowest
+    // priority, those that are late anyway, and the latest start.
+    void sort_by_loss(std::vector<Victim>& victims) const {
+        std::sort(victims.begin(), victims.end(), [&](const Victim& a, const Victim& b) {
+            auto key = [&](const Victim& v) {
+                return std::tuple(v.job->spec.gang(), v.job->spec.checkpoint_s <= 0, v.job->spec.rank,
+                                  !v.job->late(in_.config, in_.now), -v.job->live.at(v.task).bound_at,
+                                  v.job->spec.id, v.task);
+            };
+            return key(a) < key(b);
+        });
+    }
+
     Offer offer(const Queued& q, Host& h) {
         Offer o;
         o.host = &h;
@@ -378,16 +448,7 @@
         }
         uint32_t most = q.job->spec.tasks;
         o.places = room.fits(q.job->spec, most);
-        // Those that lose least go first: arrays before gangs, what can save before what cannot, the
-        // lowest priority, those that are late anyway, and the latest start.
-        std::sort(victims.begin(), victims.end(), [&](const Victim& a, const Victim& b) {
-            auto key = [&](const Victim& v) {
-                return std::tuple(v.job->spec.gang(), v.job->spec.checkpoint_s <= 0, v.job->spec.rank,
-                                  !v.job->late(in_.config, in_.now), -v.job->live.at(v.task).bound_at,
-                                  v.job->spec.id, v.task);
-            };
-            return key(a) < key(b);
-        });
+        sort_by_loss(victims);
         std::sort(ends.begin(), ends.end(), [](const auto& a, const auto& b) { return a.first < b.first; });
         Amount then = room;
         for (uint32_t k = o.places; const auto& [end, amount] : ends) {
@@ -419,7 +480,7 @@
         if (!gang) {
             // An array takes room from others only for what its team is guaranteed.
             if (!q.entitled) return;
-        } else if (!cluster_.within_limit(in_.config, job.spec, n)) {
+        } else if (!within_limit(job.spec, n)) {
             return;
         }
         std::vector<Offer> offers;
@@ -517,6 +578,7 @@
     JobTable& jobs_;
     const MatchInput& in_;
     std::set<const Job*> entitled_;
+    std::map<std::string, TeamUse> kept_limit_;  // of the teams' limits, for gangs that wait for them
     std::vector<Host*> usable_;
     std::vector<Binding> bound_;
     size_t sought_ = 0;
--- a/tests/lifecycle_test.cc
+++ b/tests/lifecycle_test.cc
@@ -600,3 +600,84 @@
     h.listed = true;
     EXPECT_EQ(rented(), 0) << "one that the cloud lists does";
 }
+
+// A large gang of low standing behind a stream of work that goes before it by priority, guarantee or
+// lateness: after the bound it goes first, and what comes free is kept for it until it can begin.
+TEST_F(Lifecycle, AStarvedJobGoesBeforeAllOthers) {
+    config.teams[0].gpus_max = 0;
+    Host &x = machine("vm-1"), &y = machine("vm-2");
+    JobSpec large = spec("job-1", 2, Shape::kGang);
+    large.gpus = 2;
+    large.one_zone = true;
+    large.rank = Rank::kIdle;
+    Job& old = add(large);
+    JobSpec late = spec("job-2", 2);
+    late.due_s = 10;
+    late.rank = Rank::kIdle;
+    Job& overdue = add(late);
+    int next = 10;
+    auto stream = [&] {
+        JobSpec s = spec("job-" + std::to_string(next++), 4);
+        s.rank = Rank::kHigh;
+        return &add(s);
+    };
+    stream();
+    ASSERT_EQ(pull({&x, &y}).size(), 4u);
+    EXPECT_TRUE(old.live.empty());
+    now += settings.begin_bound_s + 1;
+    stream();
+    // One machine comes free: it is kept, whatever else waits.
+    jobs.host_gone("vm-1", now);
+    EXPECT_TRUE(pull({&x}).empty());
+    jobs.erase("job-10");
+    jobs.host_gone("vm-2", now);
+    auto b = pull({&x, &y});
+    ASSERT_EQ(b.size(), 2u);
+    EXPECT_EQ(b[0].job, &old);
+    // The late array has its turn before what came after it, too, and only until it has begun.
+    jobs.host_gone("vm-1", now);
+    jobs.host_gone("vm-2", now);
+    old.done = Ranges::whole(2);
+    old.pending = {};
+    b = pull({&x, &y});
+    ASSERT_EQ(b.size(), 4u);
+    EXPECT_EQ(b[0].job, &overdue);
+    EXPECT_NE(b[1].job, &overdue);
+}
+
+// A gang that its team's limit keeps waiting: the team's own lower work yields, and small jobs of the team
+// that come later do not take what comes free of the limit for ever.
+TEST_F(Lifecycle, ATeamsLimitIsGatheredForItsWaitingGang) {
+    Host &x = machine("vm-1"), &y = machine("vm-2");
+    machine("vm-3");
+    Job& low = add(spec("job-1", 2));
+    low.spec.rank = Rank::kIdle;
+    Job& same = add(spec("job-2", 2));
+    ASSERT_EQ(pull({&x, &y}).size(), 4u) << "the limit is used up";
+    committed(low);
+    committed(same);
+    now += 1;
+    Job& gang = add(spec("job-3", 3, Shape::kGang));
+    now += settings.begin_bound_s + 1;
+    pull({&x});
+    auto stopping = [&](Job& j) {
+        return std::count_if(j.live.begin(), j.live.end(), [](auto& p) { return p.second.stopping; });
+    };
+    EXPECT_EQ(stopping(low), 0) << "stopping them would not do, there is too little of it";
+    gang.spec.tasks = 2;
+    gang.pending = Ranges::whole(2);
+    pull({&x});
+    EXPECT_EQ(stopping(low), 2);
+    EXPECT_EQ(stopping(same), 0);
+    // Not enough came free, and a small job comes.
+    gang.spec.tasks = 3;
+    gang.pending = Ranges::whole(3);
+    low.withdrawn = true;
+    for (auto& [id, task] : std::set(jobs.on_host("vm-1"))) {
+        (void)task;
+        if (id == "job-1") jobs.host_gone("vm-1", now);
+    }
+    add(spec("job-4", 1));
+    EXPECT_TRUE(pull({&x, &y}).empty()) << "what is free of the limit is kept";
+    EXPECT_EQ(gang.why, Wait::kTeamLimit);
+}
