--- a/src/config/config.cc
+++ b/src/config/config.cc
@@ -85,10 +85,15 @@
     if (auto* aims = at("facts.objectives").as_array()) {
         for (size_t i = 0; i < aims->size(); ++i) {
             View o(aims->get(i));
-            if (o["kind"].value_or(std::string()) != "finished") continue;
+            std::string kind = o["kind"].value_or(std::string());
+            if (kind != "finished" && kind != "wait") continue;
             std::string f = "facts.objectives[" + std::to_string(i) + "].";
             std::string name = need_text(o["class"], f + "class");
             Seconds within = positive(o["within_s"], f + "within_s");
+            if (kind == "wait") {
+                c.wait_within[name].push_back(within);
+                continue;
+            }
             auto [it, fresh] = c.finish_within.emplace(name, within);
             if (!fresh) it->second = std::min(it->second, within);
         }
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -39,6 +39,7 @@
     size_t sockets = 0;
 
     std::map<std::string, Seconds> finish_within;  // by class: the strictest aim for a job to be done
+    std::map<std::string, std::vector<Seconds>> wait_within;  // by class: the aims for its tasks to start
 
     const Team* team(const std::string& name) const;
     // Throws ConfigError with one line that names the field.
--- a/src/jobs/table.cc
+++ b/src/jobs/table.cc
@@ -45,6 +45,15 @@
     return now + constants::kLateShare * spec.estimate_s > due(config);
 }
 
+int Job::aims_lost(const Config& config, Seconds now) const {
+    int lost = late(config, now) ? 1 : 0;
+    auto waits = config.wait_within.find(spec.job_class);
+    if (waits == config.wait_within.end()) return lost;
+    for (Seconds within : waits->second)
+        if (now + constants::kStartLead_s > accepted + within) ++lost;
+    return lost;
+}
+
 bool Job::room_in_record(size_t value_bytes, uint32_t more) const {
     size_t used =
         constants::kRecordSpare + done.pieces() * 13 + (live.size() + more) * constants::kPlacementBytes;
--- a/src/jobs/table.h
+++ b/src/jobs/table.h
@@ -84,6 +84,8 @@
     Seconds due(const Config& config) const;
     // Even started now it would likely be late.
     bool late(const Config& config, Seconds now) const;
+    // How many of its class's aims a task of it that starts now can no longer meet.
+    int aims_lost(const Config& config, Seconds now) const;
     bool room_in_record(size_t value_bytes, uint32_t more) const;
     JobRecord record() const;
 };
--- a/src/match/match.cc
+++ b/src/match/match.cc
@@ -61,13 +61,13 @@
         e.starved = in.now - job->accepted > in.settings.begin_bound_s && job->live.empty() &&
                     job->done.empty() && !job->blamed;
         e.aged = in.now - job->waiting_since > in.settings.age_bound_s;
-        e.late = !job->spec.gang() && job->late(in.config, in.now);
+        e.lost = job->spec.gang() ? 0 : job->aims_lost(in.config, in.now);
         q.push_back(e);
     }
     std::sort(q.begin(), q.end(), [](const Queued& a, const Queued& b) {
         auto key = [](const Queued& q) {
-            if (q.starved) return std::tuple(false, false, 0, false, false, q.job->accepted, q.job->spec.id);
-            return std::tuple(true, !q.entitled, -static_cast<int>(q.job->spec.rank), q.late, !q.aged,
+            if (q.starved) return std::tuple(false, false, 0, 0, false, q.job->accepted, q.job->spec.id);
+            return std::tuple(true, !q.entitled, -static_cast<int>(q.job->spec.rank), q.lost, !q.aged,
                               q.job->accepted, q.job->spec.id);
         };
         return key(a) < key(b);
--- a/src/match/match.h
+++ b/src/match/match.h
@@ -35,7 +35,7 @@
     bool starved = false;  // nothing of it has begun for so long that it goes before all others
     bool entitled = false;
     bool aged = false;
-    bool late = false;  // past its due time whatever is done: after those that can still make it
+    int lost = 0;  // aims that it misses whatever is done: after those that can still make more of them
 };
 std::vector<Queued> queue_order(const JobTable& jobs, const MatchInput& in);
 
--- a/src/users/service.cc
+++ b/src/users/service.cc
@@ -138,8 +138,8 @@
     TxnResult r =
         co_await state_.commit(std::move(txn), std::min(constants::kUserWrite_s, constants::kStateCall_s));
     if (r.reply == Reply::kOk) {
-        log::debug("job {} accepted, class {}, {} tasks, image {}", spec.id, spec.job_class, spec.tasks,
-                   spec.image);
+        log::debug("job {} accepted, class {}, {} tasks, image {}, team {}", spec.id, spec.job_class,
+                   spec.tasks, spec.image, spec.team);
         co_return Response{201, pack_phase(spec.id, JobPhase::kPending), 0, "application/msgpack"};
     }
     if (r.reply == Reply::kConflict) {
--- a/tests/lifecycle_test.cc
+++ b/tests/lifecycle_test.cc
@@ -681,3 +681,19 @@
     EXPECT_TRUE(pull({&x, &y}).empty()) << "what is free of the limit is kept";
     EXPECT_EQ(gang.why, Wait::kTeamLimit);
 }
+
+// In an overload an array that lost the aim for its start goes after one that can still make it.
+TEST_F(Lifecycle, ServesArraysThatCanMakeTheirStartAimFirst) {
+    config.wait_within["c"] = {50, 100};
+    config.teams[0].gpus_max = 2;
+    JobSpec old = spec("job-1", 2), young = spec("job-2", 2);
+    old.job_class = young.job_class = "c";
+    add(old);
+    now += 60;
+    add(young);
+    Host& h = machine("vm-1");
+    auto b = pull({&h});
+    ASSERT_EQ(b.size(), 2u);
+    EXPECT_EQ(b[0].job->spec.id, "job-2");
+    EXPECT_EQ(b[1].job->spec.id, "job-2");
+}
