--- a/src/match/match.cc
+++ b/src/match/match.cc
@@ -107,8 +107,15 @@
     }
 
     bool within_limit(const JobSpec& s, uint32_t n) const {
-        auto kept = kept_limit_.find(s.team);
-        return cluster_.within_limit(in_.config, s, n, kept == kept_limit_.end() ? TeamUse{} : kept->second);
+        TeamUse kept;
+        if (auto it = kept_limit_.find(s.team); it != kept_limit_.end()) {
+            for (const auto& k : it->second) {
+                if (!k.starved && k.rank <= s.rank) continue;
+                kept.cpus += k.use.cpus;
+                kept.gpus += k.use.gpus;
+            }
+        }
+        return cluster_.within_limit(in_.config, s, n, kept);
     }
 
     bool may_start(Job& job) {
@@ -308,13 +315,16 @@
         for (Host* h : best) bind(job, *job.pending.first(), *h, job.attempt);
     }
 
-    // A gang that its team's limit lets starve. Its team's own work of lower priority yields, and what comes
-    // free of the limit is kept for it: the team's small jobs would else take each piece, and it would not
-    // start while they keep coming. Not before it starves: limit that is kept is not used.
+    // A gang that its team's limit keeps waiting. What comes free of the limit is kept from the team's work
+    // of lower priority; the team's small jobs would else take each piece, and the gang would not start while
+    // they keep coming. Once it starves, it is kept from all, and the team's lower work is stopped for it;
+    // not before, since limit that is kept is not used.
     void make_limit(const Queued& q, uint32_t n) {
         const JobSpec& s = q.job->spec;
         const Team* team = in_.config.team(s.team);
-        if (!q.starved || !team || ++sought_ > constants::kRoomJobs) return;
+        if (!team) return;
+        kept_limit_[s.team].push_back({s.rank, q.starved, {n * s.cpus, n * s.gpus}});
+        if (!q.starved || ++sought_ > constants::kRoomJobs) return;
         std::vector<Victim> victims;
         TeamUse freed;
         for (const auto& [id, v] : jobs_.all()) {
@@ -339,8 +349,6 @@
         if (enough()) {
             for (size_t i = 0; i < count; ++i) jobs_.stop(*victims[i].job, victims[i].task, in_.now, true);
         }
-        kept_limit_[s.team].cpus += n * s.cpus;
-        kept_limit_[s.team].gpus += n * s.gpus;
     }
 
     // A gang whose image takes long to fetch, and whose holders are busy with work that yields and loses
@@ -578,7 +586,12 @@
     JobTable& jobs_;
     const MatchInput& in_;
     std::set<const Job*> entitled_;
-    std::map<std::string, TeamUse> kept_limit_;  // of the teams' limits, for gangs that wait for them
+    struct KeptLimit {
+        Rank rank;
+        bool starved;
+        TeamUse use;
+    };
+    std::map<std::string, std::vector<KeptLimit>> kept_limit_;  // for gangs that wait for their team's limit
     std::vector<Host*> usable_;
     std::vector<Binding> bound_;
     size_t sought_ = 0;
--- a/tests/lifecycle_test.cc
+++ b/tests/lifecycle_test.cc
@@ -658,6 +658,13 @@
     committed(same);
     now += 1;
     Job& gang = add(spec("job-3", 3, Shape::kGang));
+    JobSpec idle = spec("job-5", 1);
+    idle.rank = Rank::kIdle;
+    Job& lower = add(idle);
+    config.teams[0].gpus_max = 5;
+    EXPECT_TRUE(pull({&x, &y, cluster.host("vm-3")}).empty()) << "what is free is kept from lower work";
+    EXPECT_EQ(lower.why, Wait::kTeamLimit);
+    config.teams[0].gpus_max = 4;
     now += settings.begin_bound_s + 1;
     pull({&x});
     auto stopping = [&](Job& j) {
