--- a/src/match/match.cc
+++ b/src/match/match.cc
@@ -61,7 +61,7 @@
         e.starved = in.now - job->accepted > in.settings.begin_bound_s && job->live.empty() &&
                     job->done.empty() && !job->blamed;
         e.aged = in.now - job->waiting_since > in.settings.age_bound_s;
-        e.lost = job->spec.gang() ? 0 : job->aims_lost(in.config, in.now);
+        e.lost = job->aims_lost(in.config, in.now);
         q.push_back(e);
     }
     std::sort(q.begin(), q.end(), [](const Queued& a, const Queued& b) {
