--- a/src/match/match.cc
+++ b/src/match/match.cc
@@ -118,6 +118,8 @@
         return cluster_.within_limit(in_.config, s, n, kept);
     }
 
+    static TeamUse need(const JobSpec& s, uint32_t n) { return {n * s.cpus, n * s.gpus}; }
+
     bool may_start(Job& job) {
         if (in_.now < job.not_before) {
             job.why = Wait::kBackoff;
@@ -305,6 +307,9 @@
         }
         if (best.empty()) {
             job.why = Wait::kGangRoom;
+            // The limit that was gathered for it stays kept while machines are: given back to the work that
+            // was stopped for it, that would be stopped and started again every second.
+            if (q.starved) kept_limit_[job.spec.team].push_back({job.spec.rank, true, need(job.spec, n)});
             return;
         }
         if (in_.now < job.claimed_until && best_cached < n) {
@@ -315,6 +320,13 @@
         for (Host* h : best) bind(job, *job.pending.first(), *h, job.attempt);
     }
 
+    void stop_for(const Job& gainer, const std::vector<Victim>& victims) {
+        for (const Victim& v : victims) {
+            log::debug("task {}/{} is stopped for job {}", v.job->spec.id, v.task, gainer.spec.id);
+            jobs_.stop(*v.job, v.task, in_.now, true);
+        }
+    }
+
     // A gang that its team's limit keeps waiting. What comes free of the limit is kept from the team's work
     // of lower priority; the team's small jobs would else take each piece, and the gang would not start while
     // they keep coming. Once it starves, it is kept from all, and the team's lower work is stopped for it;
@@ -323,7 +335,7 @@
         const JobSpec& s = q.job->spec;
         const Team* team = in_.config.team(s.team);
         if (!team) return;
-        kept_limit_[s.team].push_back({s.rank, q.starved, {n * s.cpus, n * s.gpus}});
+        kept_limit_[s.team].push_back({s.rank, q.starved, need(s, n)});
         if (!q.starved || ++sought_ > constants::kRoomJobs) return;
         std::vector<Victim> victims;
         TeamUse freed;
@@ -347,7 +359,8 @@
             freed.gpus += victims[count].job->spec.gpus;
         }
         if (enough()) {
-            for (size_t i = 0; i < count; ++i) jobs_.stop(*victims[i].job, victims[i].task, in_.now, true);
+            victims.resize(count);
+            stop_for(*q.job, victims);
         }
     }
 
@@ -379,11 +392,7 @@
             if (r.whole && (!best.whole || r.better_than(best))) best = std::move(r);
         }
         if (!best.whole || best.victims.empty()) return;
-        for (const Victim& v : best.victims) {
-            log::debug("task {}/{} is stopped for job {}, whose image is there", v.job->spec.id, v.task,
-                       job.spec.id);
-            jobs_.stop(*v.job, v.task, in_.now, true);
-        }
+        stop_for(job, best.victims);
         job.claimed_until = in_.now + constants::kClaimWait_s;
         for (Host* h : best.keep) {
             h->kept += Amount::of(job.spec);
@@ -488,6 +497,9 @@
         if (!gang) {
             // An array takes room from others only for what its team is guaranteed.
             if (!q.entitled) return;
+            // No more than its team's limit lets it use; what is stopped beyond that is stopped for nothing.
+            while (n > 0 && !within_limit(job.spec, n)) --n;
+            if (n == 0) return;
         } else if (!within_limit(job.spec, n)) {
             return;
         }
@@ -505,10 +517,7 @@
         // A gang that cannot be completed so stops nobody; it waits for what comes free by itself.
         bool stop = (best.whole || !gang) && in_.now - job.waiting_since >= in_.settings.preempt_after_s;
         if (stop) {
-            for (const Victim& v : best.victims) {
-                log::debug("task {}/{} is stopped for job {}", v.job->spec.id, v.task, job.spec.id);
-                jobs_.stop(*v.job, v.task, in_.now, true);
-            }
+            stop_for(job, best.victims);
         }
         if (!gang) return;
         for (Host* h : best.keep) {
--- a/tests/lifecycle_test.cc
+++ b/tests/lifecycle_test.cc
@@ -687,6 +687,15 @@
     add(spec("job-4", 1));
     EXPECT_TRUE(pull({&x, &y}).empty()) << "what is free of the limit is kept";
     EXPECT_EQ(gang.why, Wait::kTeamLimit);
+    // Now the limit would do, but machines are missing: it stays kept, or what was stopped for the gang
+    // would be started again, and stopped again.
+    config.teams[0].gpus_max = cluster.teams["team"].gpus + 2;
+    gang.spec.tasks = 2;
+    gang.spec.one_zone = true;
+    gang.spec.zone = "b";
+    gang.pending = Ranges::whole(2);
+    EXPECT_TRUE(pull({&x, &y}).empty());
+    EXPECT_EQ(gang.why, Wait::kGangRoom);
 }
 
 // In an overload an array that lost the aim for its start goes after one that can still make it.
