Be ready when started in an outage for all; log the records to be written

Cause: a controller that starts while the state service is away does not know the machine types and was not ready; after the outage the load balancer had to find it anew. A test counts the rounds of a crowd of reports.

--- a/src/jobs/table.h
+++ b/src/jobs/table.h
@@ -118,6 +118,7 @@
     // Jobs with changes that are not on their way, oldest change first.
     std::vector<Job*> take_dirty(size_t most_ops, size_t most_bytes);
     bool any_dirty() const { return !dirty_.empty(); }
+    size_t backlog() const { return dirty_.size(); }  // records that wait to be written
     void requeue(Job& job);
 
     // Takes in a machine's report; `absence` says that what it lacks is proven not to be there.
--- a/src/lead/leader.cc
+++ b/src/lead/leader.cc
@@ -615,8 +615,8 @@
     }
     log::info(
         "{} machines, {} of them spot, {} not up yet, {} idle; {:.0f} of {:.0f} GPUs taken; {} tasks of {} "
-        "jobs wait",
-        cluster_.hosts.size(), spot, booting, idle, gpus - free, gpus, waiting, jobs);
+        "jobs wait; {} records to be written",
+        cluster_.hosts.size(), spot, booting, idle, gpus - free, gpus, waiting, jobs, jobs_.backlog());
     double all = spent_.booting + spent_.idle + spent_.unused + spent_.starting + spent_.running;
     if (all > 0)
         log::info(
--- a/src/node.cc
+++ b/src/node.cc
@@ -91,9 +91,16 @@
 }
 
 bool Controller::ready() const {
-    if (flavors_.empty()) return false;
-    Seconds age = loop_.now() - state_.last_contact();
-    if (state_.last_contact() >= 0 && age < constants::kAlone_s) return true;
+    Seconds age = loop_.now() - std::max(state_.last_contact(), started_);
+    if (state_.last_contact() < 0) {
+        // Started in an outage: it has not learned the machine types, but tells users as well as any other
+        // when to come back, and the load balancer need not find it anew when the outage is over. Not before
+        // the siblings had time to say whether they are served.
+        if (age < 2 * constants::kBeat_s) return false;
+    } else {
+        if (flavors_.empty()) return false;
+        if (age < constants::kAlone_s) return true;
+    }
     // In an outage for all, users are better answered than turned away; refused alone, others serve them.
     bool company = siblings_.peers().empty();
     for (const auto& p : siblings_.peers()) {
--- a/tests/controller_test.cc
+++ b/tests/controller_test.cc
@@ -1,6 +1,7 @@
 // Whole controllers against scripted peers.
 #include <algorithm>
 
+#include "base/constants.h"
 #include "standins.h"
 
 using namespace hareshore;
@@ -443,6 +444,63 @@
     }
 }
 
+// After a take-over all workers report at once. What comes together is decided together: the work grows with
+// the reports, not with reports times machines.
+TEST(Controller, ACrowdOfReportsSharesItsRounds) {
+    Site s;
+    s.configs[0].sockets = 800;
+    s.start(0);
+    ASSERT_TRUE(s.until([&] { return s.leader() == 0; }));
+    s.run(1);
+    ASSERT_EQ(s.call(0, "POST", "/v2/runs",
+                     job_body("job-1",
+                              [](auto& f) {
+                                  Packer p;
+                                  f["pieces"] = p.count(8).take();
+                              }))
+                  .status,
+              201);
+    std::vector<FakeWorker> workers(200);
+    int answered = 0;
+    Scope scope(s.loop);
+    auto go = [](Loop& l, Address at, FakeWorker& w, int& n) -> Task<void> {
+        n += co_await w.hello(l, at) == 200;
+    };
+    for (size_t i = 0; i < workers.size(); ++i) {
+        workers[i].name = "vm-" + std::to_string(1000 + i);
+        scope.spawn(go(s.loop, s.configs[0].listen, workers[i], answered), "hello");
+    }
+    uint64_t before = s.nodes[0]->leader()->rounds();
+    Seconds began = s.loop.now();
+    ASSERT_TRUE(s.until([&] { return answered == 200; }, 10));
+    uint64_t rounds = s.nodes[0]->leader()->rounds() - before;
+    EXPECT_LE(static_cast<double>(rounds), 2 + (s.loop.now() - began) / constants::kRound_s);
+    EXPECT_LT(rounds, 60u) << "far fewer than reports";
+    EXPECT_EQ(s.nodes[0]->leader()->machines_reported(), 200u);
+}
+
+// Controllers that start in an outage of the state service are open for users all the same, and tell them
+// when to come back; but not one that alone is refused.
+TEST(Controller, IsReadyWhenStartedInAnOutageForAll) {
+    Site s(2);
+    s.state.down = true;
+    s.start(0);
+    s.start(1);
+    EXPECT_EQ(s.call(0, "GET", "/ready").status, 503);
+    s.run(4);
+    EXPECT_EQ(s.call(0, "GET", "/ready").status, 200);
+    EXPECT_EQ(s.call(0, "POST", "/v2/runs", job_body("job-1")).status, 503);
+    s.state.down = false;
+    ASSERT_TRUE(s.until([&] { return s.leader() >= 0; }, 10));
+    s.run(3);
+    s.kill(1);
+    s.configs[1].state = address(1, 2);  // nobody is there
+    s.start(1);
+    s.run(4);
+    EXPECT_EQ(s.call(0, "GET", "/ready").status, 200);
+    EXPECT_EQ(s.call(1, "GET", "/ready").status, 503);
+}
+
 // Once all troubles are over no job may be refused again and again: not for the load of other questions,
 // and not by a node that was cut off.
 TEST(Controller, AnswersEveryQuestionOnceTheTroublesAreOver) {
