--- a/src/lead/leader.h
+++ b/src/lead/leader.h
@@ -37,7 +37,7 @@
 
     // How many machines have reported to this leader, and for how long it has known its view.
     size_t machines_reported() const;
-    uint64_t rounds() const { return rounds_; }  // of matching, so far
+    uint64_t rounds_done() const { return rounds_; }  // of matching, so far
     Seconds loaded_for() const { return loaded_ ? loop_.now() - loaded_at_ : 0; }
 
     std::string jobs_page() const;
