Do not count a starved gang's kept limit against itself; seek limits by halving

Cause, found on rereading: the limit kept for a starved gang was counted beside its own need, so that under a tight limit no machines were kept for it; and an array's share of its limit was counted down task by task, up to 100,000 steps in a round.

--- a/src/match/match.cc
+++ b/src/match/match.cc
@@ -118,7 +118,16 @@
         return cluster_.within_limit(in_.config, s, n, kept);
     }
 
-    static TeamUse need(const JobSpec& s, uint32_t n) { return {n * s.cpus, n * s.gpus}; }
+    // Halving, not counting down: an array may have 100,000 tasks.
+    uint32_t most_within_limit(const JobSpec& s, uint32_t n) const {
+        if (within_limit(s, n)) return n;
+        uint32_t yes = 0, no = n;
+        while (no - yes > 1) {
+            uint32_t half = yes + (no - yes) / 2;
+            (within_limit(s, half) ? yes : no) = half;
+        }
+        return yes;
+    }
 
     bool may_start(Job& job) {
         if (in_.now < job.not_before) {
@@ -178,6 +187,7 @@
                 serve_singles(std::exchange(singles, {}));
                 if (may_start(*q.job)) place_gang(q);
                 make_room(q);
+                keep_limit(q);
             } else {
                 singles.push_back(q);
             }
@@ -188,7 +198,11 @@
     void serve_singles(const std::vector<Queued>& jobs) {
         if (jobs.empty()) return;
         for (const auto& q : jobs)
-            if (q.job->spec.gang() && may_start(*q.job) && !within_limit(q.job->spec, 1)) make_limit(q, 1);
+            if (q.job->spec.gang() && may_start(*q.job) && !within_limit(q.job->spec, 1)) {
+                q.job->why = Wait::kTeamLimit;
+                make_limit(q, 1);
+                keep_limit(q);
+            }
         for (Host* h : in_.askers)
             if (h->usable) pull(jobs, *h);
         for (const auto& q : jobs) make_room(q);
@@ -307,9 +321,6 @@
         }
         if (best.empty()) {
             job.why = Wait::kGangRoom;
-            // The limit that was gathered for it stays kept while machines are: given back to the work that
-            // was stopped for it, that would be stopped and started again every second.
-            if (q.starved) kept_limit_[job.spec.team].push_back({job.spec.rank, true, need(job.spec, n)});
             return;
         }
         if (in_.now < job.claimed_until && best_cached < n) {
@@ -327,15 +338,26 @@
         }
     }
 
-    // A gang that its team's limit keeps waiting. What comes free of the limit is kept from the team's work
-    // of lower priority; the team's small jobs would else take each piece, and the gang would not start while
-    // they keep coming. Once it starves, it is kept from all, and the team's lower work is stopped for it;
-    // not before, since limit that is kept is not used.
+    // What comes free of a team's limit is kept for its gang that waits for it, from the team's work of lower
+    // priority; the team's small jobs would else take each piece, and the gang would not start while they
+    // keep coming. Once it starves, it is kept from all, also while machines are lacking: given back to the
+    // work that was stopped for it, that would be stopped and started again in each round. Not before, since
+    // limit that is kept is not used. Comes last of what is done for the gang, which would else count it
+    // twice.
+    void keep_limit(const Queued& q) {
+        const Job& job = *q.job;
+        bool waits = job.why == Wait::kTeamLimit || (q.starved && job.why == Wait::kGangRoom);
+        if (job.pending.empty() || !waits) return;
+        double n = job.pending.size();
+        kept_limit_[job.spec.team].push_back(
+            {job.spec.rank, q.starved, {n * job.spec.cpus, n * job.spec.gpus}});
+    }
+
+    // A gang that starves for want of its team's limit: the team's own lower work yields.
     void make_limit(const Queued& q, uint32_t n) {
         const JobSpec& s = q.job->spec;
         const Team* team = in_.config.team(s.team);
         if (!team) return;
-        kept_limit_[s.team].push_back({s.rank, q.starved, need(s, n)});
         if (!q.starved || ++sought_ > constants::kRoomJobs) return;
         std::vector<Victim> victims;
         TeamUse freed;
@@ -498,7 +520,7 @@
             // An array takes room from others only for what its team is guaranteed.
             if (!q.entitled) return;
             // No more than its team's limit lets it use; what is stopped beyond that is stopped for nothing.
-            while (n > 0 && !within_limit(job.spec, n)) --n;
+            n = most_within_limit(job.spec, n);
             if (n == 0) return;
         } else if (!within_limit(job.spec, n)) {
             return;
--- a/tests/lifecycle_test.cc
+++ b/tests/lifecycle_test.cc
@@ -713,3 +713,33 @@
     EXPECT_EQ(b[0].job->spec.id, "job-2");
     EXPECT_EQ(b[1].job->spec.id, "job-2");
 }
+
+// What is kept of the limit for a starved gang does not count against itself: it still keeps the machines
+// that come free.
+TEST_F(Lifecycle, AStarvedGangKeepsLimitAndMachines) {
+    Host &x = machine("vm-1"), &y = machine("vm-2");
+    JobSpec longer = spec("job-1", 1);
+    longer.gpus = 2;
+    longer.estimate_s = 300;
+    Job& busy = add(longer);
+    jobs.bind(busy, 0, y, 1, now);
+    committed(busy);
+    config.teams[0].gpus_max = 6;
+    JobSpec g = spec("job-2", 2, Shape::kGang);
+    g.gpus = 2;
+    g.one_zone = true;
+    add(g);
+    Team other;
+    other.name = "other";
+    config.teams.push_back(other);
+    JobSpec theirs = spec("job-3", 1);
+    theirs.team = "other";
+    theirs.estimate_s = 900;
+    now += settings.begin_bound_s + 1;
+    add(theirs);
+    EXPECT_TRUE(pull({&x}).empty()) << "the machine is kept, from other teams as well";
+    jobs.host_gone("vm-2", now);
+    busy.done = Ranges::whole(1);
+    busy.pending = {};
+    EXPECT_EQ(pull({&x, &y}).size(), 2u);
+}
