Bound a zone's machines by the cloud's capacity, not by a default of 200

Processor time was ruled out: the leader's peak was 0.7 of its share. Now there is no limit by default; what is asked for at once is bounded by the cloud's rate, so that a job of 100,000 tasks costs no more. The test fails with the old default.

--- a/src/config/config.h
+++ b/src/config/config.h
@@ -54,7 +54,7 @@
     Seconds age_bound_s = 60;     // a task that waited longer goes first among those of its priority
     Seconds begin_bound_s = 150;  // a job of which nothing began for so long goes before all others
     int min_machines = 0;         // per zone: rented even without work
-    int max_machines = 200;       // per zone
+    int max_machines = 0;         // per zone; 0: as many as the cloud has
     int min_idle_machines = 0;    // per zone: kept ready for the next job
     Seconds idle_return_s = 20;   // a machine idle this long is returned
     Seconds calm_s = 30;  // no job for this long: idle machines go back at once, work is moved together
--- a/src/fleet/plan.cc
+++ b/src/fleet/plan.cc
@@ -131,16 +131,25 @@
     bool add(const Kind& kind, bool fresh) {
         const Flavor* f = cluster_.flavor(kind.flavor);
         if (!f) return false;
-        if (fresh && in_zone_[kind.zone] >= in_.settings.max_machines) return false;
+        int most = in_.settings.max_machines;
+        if (fresh && most > 0 && in_zone_[kind.zone] >= most) return false;
+        if (fresh && ordered_ >= most_ordered()) return false;
         Slot s;
         s.kind = kind;
         s.whole = s.free = {f->cpus, f->gpus, f->memory_gb};
         s.fresh = fresh;
         slots_.push_back(s);
         ++in_zone_[kind.zone];
+        ++ordered_;
         return true;
     }
 
+    // The cloud's capacity bounds a fleet; the requests on their way are bounded by what it can be asked for
+    // in a second, however many tasks wait.
+    size_t most_ordered() const {
+        return constants::kRentAtMost * static_cast<size_t>(std::max(1.0, in_.config.cloud_rps));
+    }
+
     bool refused(const Kind& k) const {
         auto it = in_.refused_until.find(k);
         return it != in_.refused_until.end() && in_.now < it->second;
@@ -340,6 +349,7 @@
     const FleetInput& in_;
     std::vector<Slot> slots_;
     std::map<std::string, int> in_zone_;
+    size_t ordered_ = 0;  // machines asked for and not rented yet, with those of this plan
     FleetPlan plan_;
 };
 
--- a/tests/lifecycle_test.cc
+++ b/tests/lifecycle_test.cc
@@ -26,6 +26,7 @@
         config.report_s = 3;
         config.lease_s = 24;
         config.value_bytes = 8192;
+        config.cloud_rps = 6;
         cluster.flavors = {test::small_flavor()};
     }
 
@@ -421,6 +422,17 @@
     int number = 0;
     for (auto& r : plan.rent) number += r.number;
     EXPECT_EQ(number, 80) << "up to the most machines in each of two zones, and not one a task";
+    // By default only the cloud's capacity bounds a zone: with 200 machines a zone as the default a fleet of 700
+    // stayed at 400, and most of a class was not served. What is asked for at once stays bounded.
+    settings.max_machines = 0;
+    for (int i = 0; i < 260; ++i) machine("vm-b" + std::to_string(100 + i)).free = {};
+    number = 0;
+    for (auto& r : plan_fleet(cluster, jobs, in).rent) number += r.number;
+    EXPECT_EQ(number, 300);
+    in.on_order = {{{"g2", "a", false}, 50}, {{"g2", "b", false}, 50}};
+    number = 0;
+    for (auto& r : plan_fleet(cluster, jobs, in).rent) number += r.number;
+    EXPECT_EQ(number, 200);
 }
 
 TEST_F(Lifecycle, ReturnsSilentMachinesUnlessManyFallSilentAtOnce) {
