--- a/src/cloud/cloud.cc
+++ b/src/cloud/cloud.cc
@@ -119,12 +119,14 @@
     co_return r;
 }
 
-Task<bool> Cloud::remove(std::vector<std::string> names) {
+Task<Removal> Cloud::remove(std::vector<std::string> names) {
     Packer p;
     p.map(1).key("hosts").list(names.size());
     for (const auto& n : names) p.text(n);
     Answer a = co_await call("POST", "/hosts/delete", p.take());
-    co_return a.ok();
+    if (a.ok()) co_return Removal::kDone;
+    bool refused = a.status == 429 || a.status == 503 || (a.status == 0 && !a.sent);
+    co_return refused ? Removal::kRefused : Removal::kUnknown;
 }
 
 }  // namespace hareshore
--- a/src/cloud/cloud.h
+++ b/src/cloud/cloud.h
@@ -26,6 +26,7 @@
     Seconds age_s = 0;
 };
 
+enum class Removal { kDone, kRefused, kUnknown };  // unknown: it may have been carried out, or may yet be
 enum class Rent { kRented, kNoCapacity, kFailed, kUnknown };
 
 struct RentResult {
@@ -39,7 +40,7 @@
     Task<std::optional<std::vector<Flavor>>> flavors();
     Task<std::optional<std::vector<Machine>>> list();  // all pages
     Task<RentResult> rent(std::string claim, std::string flavor, std::string zone, bool spot, int number);
-    Task<bool> remove(std::vector<std::string> names);  // true: they are gone
+    Task<Removal> remove(std::vector<std::string> names);  // true: they are gone
 
     static std::string pack_flavors(const std::vector<Flavor>& flavors);
     static std::optional<std::vector<Flavor>> unpack_flavors(const std::string& packed);
--- a/src/fleet/plan.cc
+++ b/src/fleet/plan.cc
@@ -44,44 +44,37 @@
     }
 
   private:
-    void give_back(const Host& h, std::string why) {
+    void give_back(const Host& h, std::string why, bool silent = false) {
         plan_.give_back.push_back(h.name);
+        if (silent) plan_.silent.insert(h.name);
         plan_.reasons[h.name] = std::move(why);
     }
 
     // Machines that are of no use. A machine is returned with tasks on it only when nothing can be saved
     // there any more: the deletion is also what proves that its tasks are gone.
     void judge() {
-        // When most of a zone's machines are quiet at once, the zone is likely cut off from this controller:
-        // they are given longer. Counted early, lest the first to be judged are taken one by one.
-        std::map<std::string, std::pair<size_t, size_t>> zones;  // quiet, known
-        for (const auto& [name, h] : cluster_.hosts) {
-            if (!h->reported || h->phase == MachinePhase::kFailed) continue;
-            auto& [quiet, known] = zones[h->zone];
-            ++known;
-            bool late = in_.now - h->last_report > constants::kQuietReports * in_.config.report_s;
-            if ((late && !h->holding) || h->unheard_since >= 0) ++quiet;
-        }
+        find_cut_zones();
         for (const auto& [name, h] : cluster_.hosts) {
             if (h->deleting) continue;
             const Flavor* f = cluster_.flavor(h->flavor);
-            Seconds quiet = in_.now - std::max(h->last_report, in_.leading_since);
-            const auto& [silent, known] = zones[h->zone];
-            bool cut = silent >= 3 && silent * 2 > known;
-            Seconds patience = cut ? 2 * in_.config.lease_s : silent_after();
+            bool cut = cut_.count(h->zone) > 0;
+            Seconds patience = cut ? constants::kCutPatience * in_.config.lease_s : silent_after();
             if (h->phase == MachinePhase::kFailed) {
                 give_back(*h, "it failed");
-            } else if (h->phase == MachinePhase::kRunning && h->reported && !h->holding && quiet > patience) {
-                give_back(*h, "it is unreachable");
+            } else if (h->phase == MachinePhase::kRunning && h->reported && !h->holding &&
+                       quiet(*h) > patience) {
+                give_back(*h, "it is unreachable", true);
             } else if (h->phase == MachinePhase::kRunning && !h->reported &&
-                       quiet > patience + in_.config.lease_s) {
-                give_back(*h, "it never reported");
+                       quiet(*h) > patience + (cut ? 0 : in_.config.lease_s)) {
+                give_back(*h, "it never reported", true);
             } else if (h->phase == MachinePhase::kBooting && f &&
                        in_.now - h->born > constants::kBootPatience * f->boot_s + constants::kBootExtra_s &&
-                       quiet > silent_after()) {
-                give_back(*h, "it does not come up");
-            } else if (h->phase == MachinePhase::kBooting && !f && quiet > patience + in_.config.lease_s) {
-                give_back(*h, "nothing is known of it");  // a record names it, the cloud does not list it
+                       quiet(*h) > silent_after()) {
+                give_back(*h, "it does not come up", true);
+            } else if (h->phase == MachinePhase::kBooting && !f &&
+                       quiet(*h) > patience + in_.config.lease_s) {
+                give_back(*h, "nothing is known of it",
+                          true);  // a record names it, the cloud does not list it
             } else if (h->unheard_since >= 0 && in_.now - h->unheard_since > unheard_patience(cut)) {
                 give_back(*h, "its reports arrive, but it does not hear their answers");
             } else if (h->emptying && h->idle()) {
@@ -92,6 +85,30 @@
         }
     }
 
+    Seconds quiet(const Host& h) const { return in_.now - std::max(h.last_report, in_.leading_since); }
+
+    bool late(const Host& h) const {
+        return !h.holding && quiet(h) > constants::kQuietReports * in_.config.report_s;
+    }
+
+    // When most of a zone's machines are quiet at once, the zone is likely cut off from this controller: they
+    // are given longer, nothing is rented there, and they are no room to count on. What runs there has ended
+    // with its leases; returned, they would be missing when the cut ends, and new ones would not be heard
+    // either. Machines that the cloud has up count, too, so that a new leader sees a cut that is older than
+    // it. Counted early, lest the first to be judged are taken one by one.
+    void find_cut_zones() {
+        std::map<std::string, std::pair<size_t, size_t>> zones;  // quiet, known
+        for (const auto& [name, h] : cluster_.hosts) {
+            bool up = h->reported || (h->listed && h->phase == MachinePhase::kRunning);
+            if (!up || h->phase == MachinePhase::kFailed) continue;
+            auto& [quiet, known] = zones[h->zone];
+            ++known;
+            if (late(*h) || h->unheard_since >= 0) ++quiet;
+        }
+        for (const auto& [zone, n] : zones)
+            if (n.first >= 3 && n.first * 2 > n.second) cut_.insert(zone);
+    }
+
     // A worker silent this long is unreachable: reports are missing, not only on a detour to another node.
     Seconds silent_after() const {
         return constants::kQuietReports * in_.config.report_s + constants::kDetour_s;
@@ -112,6 +129,7 @@
             // machine takes up the epoch or the cloud lists it, it is no room to count on.
             if (h->reported && !h->current && !h->listed) continue;
             if (h->unheard_since >= 0) continue;
+            if (cut_.count(h->zone) && late(*h)) continue;
             Slot s;
             s.host = h.get();
             s.kind = {h->flavor, h->zone, h->spot};
@@ -154,6 +172,7 @@
     }
 
     bool refused(const Kind& k) const {
+        if (cut_.count(k.zone)) return true;
         auto it = in_.refused_until.find(k);
         return it != in_.refused_until.end() && in_.now < it->second;
     }
@@ -362,7 +381,8 @@
     std::vector<size_t> open_;  // those with room for something that waits
     Amount least_;              // what no waiting task asks less than
     std::map<std::string, int> in_zone_;
-    size_t ordered_ = 0;  // machines asked for and not rented yet, with those of this plan
+    std::set<std::string> cut_;  // zones
+    size_t ordered_ = 0;         // machines asked for and not rented yet, with those of this plan
     FleetPlan plan_;
 };
 
--- a/src/fleet/plan.h
+++ b/src/fleet/plan.h
@@ -19,6 +19,7 @@
 struct FleetPlan {
     std::vector<Rental> rent;
     std::vector<std::string> give_back;
+    std::set<std::string> silent;                // of these: kept if they are heard in time
     std::vector<std::string> empty_out;          // their tasks are to be moved, so that they can be returned
     std::map<std::string, std::string> reasons;  // by machine
 };
--- a/src/jobs/table.cc
+++ b/src/jobs/table.cc
@@ -351,7 +351,8 @@
 
 void JobTable::find_crawlers(Cluster& cluster, Seconds now) {
     for (auto& [name, h] : cluster.hosts) {
-        if (h->condemned) continue;
+        // Of one that is silent nothing is known; its tasks only seem to go on for long.
+        if (h->condemned || !h->usable) continue;
         size_t crawling = 0;
         for (const auto& r : on_host(name)) {
             const Job& j = *r.job;
--- a/src/lead/election.cc
+++ b/src/lead/election.cc
@@ -31,9 +31,10 @@
 }
 
 void Election::heard(const std::string& label, uint64_t epoch) {
-    if (epoch <= known_epoch_) return;
+    bool names = epoch == known_epoch_ && !leading_ && leader_.empty() && !label.empty();
+    if (epoch <= known_epoch_ && !names) return;
     known_epoch_ = epoch;
-    if (leading_) deposed("a sibling leads in a later epoch");
+    if (leading_) deposed("a sibling knows of a later epoch");
     leader_ = label;
     changed_.notify();
 }
@@ -158,6 +159,7 @@
     stamp_ = r.tide;
     known_epoch_ = epoch;
     leading_ = true;
+    confirmed_until_ = asked + constants::kLeadTtl_s * (1 - constants::kDrift);
     leader_ = label_;
     log::info("leading in epoch {} after {:.0f} ms", epoch_, (loop_.now() - asked) * 1000);
     changed_.notify();
@@ -168,7 +170,9 @@
     while (leading_) {
         co_await loop_.wait(changed_, loop_.now() + pause);
         if (!leading_) co_return;
+        Seconds asked = loop_.now();
         Reply r = co_await state_.renew(lease_, constants::kStateCall_s);
+        if (r == Reply::kOk) confirmed_until_ = asked + constants::kLeadTtl_s * (1 - constants::kDrift);
         if (r == Reply::kAbsent) deposed("its lease ended");
         pause = r == Reply::kOk ? constants::kLeadRenew_s : constants::kRetryPause_s * 2;
     }
--- a/src/lead/election.h
+++ b/src/lead/election.h
@@ -13,6 +13,9 @@
     Task<void> run();
 
     bool leading() const { return leading_; }
+    // Whether the state service has said so within the lease. One that was cut off or stood still may have
+    // been followed by another without knowing.
+    bool confirmed() const { return leading_ && loop_.now() < confirmed_until_; }
     uint64_t epoch() const { return epoch_; }  // our term, while leading
     uint64_t stamp() const { return stamp_; }  // of the leadership key: the condition of every write
     const std::string& leader() const { return leader_; }  // who is thought to lead; may be empty
@@ -21,7 +24,7 @@
 
     // Proof that another leads in a later term.
     void deposed(const char* why);
-    // A sibling says that it leads.
+    // A sibling says that it leads, or, with an empty label, that it knows of this term.
     void heard(const std::string& label, uint64_t epoch);
     // Gives leadership up and stays out of the next elections for a while.
     void resign(Seconds stay_out);
@@ -40,6 +43,7 @@
     bool resigning_ = false;
     uint64_t epoch_ = 0, stamp_ = 0, lease_ = 0, known_epoch_ = 0;
     std::string leader_;
+    Seconds confirmed_until_ = -1;
     Seconds out_until_ = -1;
     Seconds pause_ = 0;
     Signal changed_;
--- a/src/lead/leader.cc
+++ b/src/lead/leader.cc
@@ -20,7 +20,7 @@
 }  // namespace
 
 Leader::Leader(Loop& loop, const Config& config, const Settings& settings, StateService& state, Cloud& cloud,
-               Term term, std::vector<Flavor> flavors, Vouch vouch, Deposed deposed)
+               Term term, std::vector<Flavor> flavors, Vouch vouch, Confirmed confirmed, Deposed deposed)
     : loop_(loop),
       config_(config),
       settings_(settings),
@@ -28,6 +28,7 @@
       cloud_(cloud),
       term_(std::move(term)),
       vouch_(std::move(vouch)),
+      confirmed_(std::move(confirmed)),
       deposed_(std::move(deposed)),
       writes_(config.write_rps * constants::kLeaderShare,
               std::max(2.0, config.write_rps * constants::kLeaderShare)),
@@ -470,13 +471,23 @@
 
 Task<void> Leader::run_fleet() {
     while (true) {
+        Seconds slept = loop_.now();
         co_await loop_.sleep(constants::kFleetTick_s);
+        // Who stood still heard nobody: the machines were not silent, we did not listen.
+        if (loop_.now() - slept > constants::kFleetTick_s + constants::kStoodStill_s) {
+            log::info("stood still for {:.1f} s", loop_.now() - slept - constants::kFleetTick_s);
+            listening_since_ = loop_.now();
+        }
         ask_round();  // time has passed: what was held may go
+        // A leader that was cut off or stood still may have been followed by another: what it rents and
+        // returns by its old view would undo the other's work. Cut off for 120 s, one returned the whole
+        // fleet.
+        if (!confirmed_()) continue;
         if (cluster_.flavors.empty()) continue;
         // The machine list lags; what an earlier leader rented shows up only after that.
         if (term_.epoch > 1 && loop_.now() - loaded_at_ < constants::kLeaderSettle_s) continue;
         jobs_.find_crawlers(cluster_, loop_.now());
-        FleetInput in{config_,        settings_, loop_.now(), loaded_at_,
+        FleetInput in{config_,        settings_, loop_.now(), std::max(loaded_at_, listening_since_),
                       refused_until_, on_order_, true,        kind_seen_spot_only()};
         cluster_.recount(jobs_, loop_.now(),
                          constants::kFreshReports * config_.report_s);  // without what is kept
@@ -490,16 +501,7 @@
                 spawn(rent(part), "rent");
             }
         }
-        std::vector<std::string> names;
-        for (const auto& name : plan.give_back) {
-            Host* h = cluster_.host(name);
-            if (!h || h->deleting) continue;
-            h->deleting = true;
-            log::info("machine {} returned: {}", name, plan.reasons[name]);
-            names.push_back(name);
-            if (names.size() == constants::kDeleteAtMost) spawn(remove(std::exchange(names, {})), "return");
-        }
-        if (!names.empty()) spawn(remove(std::move(names)), "return");
+        return_machines(plan);
         for (const auto& name : plan.empty_out) {
             Host* h = cluster_.host(name);
             if (!h) continue;
@@ -512,11 +514,35 @@
     }
 }
 
+void Leader::return_machines(const FleetPlan& plan) {
+    std::vector<std::string> names;
+    std::set<std::string> silent;
+    auto send = [&] {
+        if (!names.empty()) spawn(remove(std::exchange(names, {}), std::exchange(silent, {})), "return");
+    };
+    for (const auto& name : plan.give_back) {
+        Host* h = cluster_.host(name);
+        if (!h || h->deleting) continue;
+        h->deleting = true;
+        log::info("machine {} returned: {}", name, plan.reasons.at(name));
+        names.push_back(name);
+        if (plan.silent.count(name)) silent.insert(name);
+        if (names.size() == constants::kDeleteAtMost) send();
+    }
+    send();
+}
+
+// Before anything is asked of the cloud.
+Task<void> Leader::confirmation() {
+    while (!confirmed_()) co_await loop_.sleep(constants::kRetryPause_s);
+}
+
 Task<void> Leader::rent(Rental rental) {
     // The epoch is never reused, so neither is the claim; it is repeated until its answer is known.
     std::string claim = "r-" + std::to_string(term_.epoch) + "-" + std::to_string(++claims_);
     Seconds pause = constants::kRetryPause_s;
     while (true) {
+        co_await confirmation();
         RentResult r = co_await cloud_.rent(claim, rental.kind.flavor, rental.kind.zone, rental.kind.spot,
                                             rental.number);
         if (r.result == Rent::kRented || r.result == Rent::kNoCapacity) {
@@ -545,16 +571,32 @@
     }
 }
 
-Task<void> Leader::remove(std::vector<std::string> names) {
+Task<void> Leader::remove(std::vector<std::string> names, std::set<std::string> silent) {
     Seconds pause = constants::kRetryPause_s;
-    while (!co_await cloud_.remove(names)) {
+    Seconds decided = loop_.now();
+    bool perhaps = false;  // a request may have been carried out, or may yet be
+    while (true) {
+        co_await confirmation();
+        // Whoever was silent and is heard before the cloud could be asked is kept.
+        if (!perhaps)
+            std::erase_if(names, [&](const std::string& name) {
+                Host* h = cluster_.host(name);
+                if (!h || !silent.count(name) || h->last_report <= decided) return false;
+                log::info("machine {}: heard again, kept", name);
+                h->deleting = false;
+                return true;
+            });
+        if (names.empty()) co_return;
+        Removal r = co_await cloud_.remove(names);
+        if (r == Removal::kDone) break;
+        perhaps = perhaps || r == Removal::kUnknown;
         co_await loop_.sleep(pause);
         pause = std::min(pause * 2, constants::kRetryPauseMax_s);
     }
     for (const auto& name : names) {
         jobs_.host_gone(name, loop_.now());
         cluster_.hosts.erase(name);
-        wake(name);
+        lines_.erase(name);  // wakes what waits on it
         gone_.insert(name);
     }
     ask_round();
--- a/src/lead/leader.h
+++ b/src/lead/leader.h
@@ -21,10 +21,12 @@
     // Until when the siblings vouch that no withdrawal was told that this node could be missing, given
     // that it misses none told before `since`.
     using Vouch = std::function<Seconds(Seconds since)>;
+    // Whether this leadership is certain now.
+    using Confirmed = std::function<bool()>;
     using Deposed = std::function<void(const char* why)>;
 
     Leader(Loop& loop, const Config& config, const Settings& settings, StateService& state, Cloud& cloud,
-           Term term, std::vector<Flavor> flavors, Vouch vouch, Deposed deposed);
+           Term term, std::vector<Flavor> flavors, Vouch vouch, Confirmed confirmed, Deposed deposed);
     void start();
     void stop();
     bool stopped() const { return stopped_; }
@@ -64,7 +66,9 @@
     Task<void> read_prices();
     Task<void> run_fleet();
     Task<void> rent(Rental rental);
-    Task<void> remove(std::vector<std::string> names);
+    Task<void> confirmation();
+    Task<void> remove(std::vector<std::string> names, std::set<std::string> silent);
+    void return_machines(const FleetPlan& plan);
     Task<void> halt(std::string host);
 
     void spawn(Task<void> task, const char* name);
@@ -89,6 +93,7 @@
     Cloud& cloud_;
     Term term_;
     Vouch vouch_;
+    Confirmed confirmed_;
     Deposed deposed_;
 
     JobTable jobs_;
@@ -106,6 +111,7 @@
     uint64_t tide_ = 0;     // the watch has seen all changes up to this revision
     Seconds fresh_ = -1e9;  // no withdrawal before this is missing
     Seconds loaded_at_ = 0;
+    Seconds listening_since_ = 0;  // before this, that a machine was silent says nothing
     uint64_t claims_ = 0;
     Seconds fleet_logged_ = -1e9;
     // Where the GPU time that is paid for goes, in GPU seconds since this leader began; for the log.
--- a/src/node.cc
+++ b/src/node.cc
@@ -117,8 +117,10 @@
     while (true) {
         co_await loop_.wait(election_.changed(), loop_.now() + constants::kBeat_s);
         for (const auto& p : siblings_.peers())
-            if (p.beat.leads && loop_.now() - p.heard < constants::kBeatFresh_s)
-                election_.heard(p.who.label, p.beat.epoch);
+            if (loop_.now() - p.heard < constants::kBeatFresh_s)
+                // One that does not lead vouches for the term all the same: the new leader itself may be
+                // behind a cut from here.
+                election_.heard(p.beat.leads ? p.who.label : "", p.beat.epoch);
         resign_if_cut_off();
         if (leader_ && (!election_.leading() || leader_->epoch() != election_.epoch())) {
             leader_->stop();
@@ -130,6 +132,7 @@
             leader_ = std::make_shared<Leader>(
                 loop_, config_, settings_, state_, cloud_, term, flavors_,
                 [this](Seconds since) { return vouched(since); },
+                [this, epoch] { return election_.epoch() == epoch && election_.confirmed(); },
                 [this, epoch](const char* why) {
                     if (election_.epoch() == epoch) election_.deposed(why);
                 });
--- a/tests/controller_test.cc
+++ b/tests/controller_test.cc
@@ -525,3 +525,85 @@
         for (int i = 1; i <= 20; ++i)
             EXPECT_EQ(s.call(node, "GET", "/v2/runs/job-" + std::to_string(i)).status, 200) << i;
 }
+
+// A leader that has lost the state service may have been followed by another without knowing. It goes on to
+// answer workers as long as it may, but asks the cloud for nothing: cut off for 120 s, one returned the whole
+// fleet, which by then was another's.
+TEST(Controller, ALeaderThatIsNotConfirmedReturnsNothing) {
+    Site s;
+    s.start(0);
+    ASSERT_TRUE(s.until([&] { return s.leader() == 0; }));
+    s.run(1);
+    FakeWorker w;
+    s.cloud.machines[w.name] = {w.name, w.addr, w.flavor, w.zone, false, MachinePhase::kRunning, 100};
+    s.settle(w);
+    s.state.silent = true;
+    s.run(60);
+    EXPECT_TRUE(s.cloud.deleted.empty());
+    s.state.silent = false;
+    s.run(60);
+    EXPECT_EQ(s.cloud.deleted.size(), 1u) << "once it is confirmed, or leads anew";
+}
+
+// The cloud is away when a silent machine is given up, and the machine is heard again before it is back.
+TEST(Controller, KeepsAMachineThatIsHeardBeforeItCouldBeReturned) {
+    Site s;
+    s.start(0);
+    ASSERT_TRUE(s.until([&] { return s.leader() == 0; }));
+    s.run(1);
+    FakeWorker w1, w2;
+    w2.name = "vm-000002";
+    s.settle(w1);
+    s.settle(w2);
+    s.cloud.down = true;
+    s.run(20);
+    EXPECT_EQ(s.hello(w1, 0), 200);
+    s.cloud.down = false;
+    s.run(4);
+    EXPECT_EQ(s.cloud.deleted, std::vector<std::string>{"vm-000002"});
+    ASSERT_EQ(s.call(0, "POST", "/v2/runs", job_body("job-1")).status, 201);
+    s.hello(w1, 0);
+    EXPECT_TRUE(w1.find("job-1/0")) << "it is of use again";
+}
+
+// A process stands still for 30 s while its clocks run on. What it believed before does not count: it does
+// not take its machines for silent, answers no worker on an old right, and leads only if the state service
+// says so.
+TEST(Controller, AfterStandingStillNothingCountsUntilConfirmed) {
+    for (bool followed : {false, true}) {
+        Site s(2);
+        s.start(0);
+        ASSERT_TRUE(s.until([&] { return s.leader() == 0; }));
+        s.run(6);
+        std::vector<FakeWorker> workers(2);
+        for (size_t i = 0; i < workers.size(); ++i) {
+            workers[i].name = "vm-00000" + std::to_string(i);
+            s.settle(workers[i]);
+        }
+        s.run(3);
+        // The clock jumps between two turns of the loop, wherever its routines are.
+        for (int steps : {0, 1, 2, 5}) {
+            for (int i = 0; i < steps; ++i) s.loop.turn(0);
+            if (followed) {
+                Packer p;
+                p.map(2).key("node").text("node-1").key("epoch").count(9);
+                s.state.rows["leader"] = {p.take(), ++s.state.tide, 0};
+            }
+            s.clock.advance(30);
+            if (!followed) s.state.outage_is_over();  // so that the lease is still there
+            for (int i = 0; i < 3; ++i) s.loop.turn(0);
+            if (followed) {
+                s.run(5);
+                EXPECT_EQ(s.leader(), -1) << steps;
+                EXPECT_EQ(s.hello(workers[0], 0), 421) << steps;
+            }
+            EXPECT_TRUE(s.cloud.deleted.empty()) << steps;
+            if (followed) break;
+            s.run(2.5);
+            EXPECT_EQ(s.nodes[0]->election().epoch(), 1u) << "it leads still";
+            for (auto& w : workers) s.settle(w);
+            s.run(3);
+        }
+        EXPECT_TRUE(s.cloud.deleted.empty());
+    }
+}
--- a/tests/lifecycle_test.cc
+++ b/tests/lifecycle_test.cc
@@ -453,6 +453,29 @@
     cluster.host("vm-0")->last_report = then;
     FleetInput in{config, settings, now, then, {}, {}, true, false};
     EXPECT_TRUE(plan_fleet(cluster, jobs, in).give_back.empty());
+    // Nor is anything rented where it would not be heard, and the silent ones are no room to count on. A new
+    // leader, who has heard none of them, sees the cut by what the cloud lists as up. With the zone's 260
+    // machines returned and rented anew again and again, the fleet was short of them when the cut was over.
+    config.zones = {"a", "b"};
+    add(spec("job-1", 4));
+    for (bool heard : {true, false}) {
+        for (int i = 0; i < 6; ++i) {
+            Host& h = *cluster.host("vm-" + std::to_string(i));
+            h.last_report = then;
+            h.listed = true;
+            h.reported = heard;
+        }
+        now = then + 2 * config.lease_s;
+        cluster.recount(jobs, now, 6);
+        FleetInput cut{config, settings, now, then, {}, {}, true, false};
+        FleetPlan plan = plan_fleet(cluster, jobs, cut);
+        EXPECT_TRUE(plan.give_back.empty()) << heard;
+        ASSERT_EQ(plan.rent.size(), 1u);
+        EXPECT_EQ(plan.rent[0].kind.zone, "b");
+        EXPECT_EQ(plan.rent[0].number, 2);
+        cut.now = then + constants::kCutPatience * config.lease_s + 1;
+        EXPECT_EQ(plan_fleet(cluster, jobs, cut).give_back.size(), 6u) << "some day they are given up";
+    }
 }
 
 // Work is moved together only when no job has come for a while, and only if it can save and fits elsewhere.
--- a/tests/standins.cc
+++ b/tests/standins.cc
@@ -48,6 +48,10 @@
     if (any) news_.notify();
 }
 
+void FakeState::outage_is_over() {
+    for (auto& [id, l] : leases_) l.second = loop_.now() + l.first;
+}
+
 Response FakeState::apply(const std::string& body) {
     auto m = Message::parse(body);
     Node when = m->root()["when"], writes = m->root()["writes"];
--- a/tests/standins.h
+++ b/tests/standins.h
@@ -60,6 +60,7 @@
 
     Response apply(const std::string& body);
     void end_lease(uint64_t id);
+    void outage_is_over();  // all leases have their full time again
 
   private:
     struct Event {
