Size buffers from the settings; count frames only for the life and the request they belong to

Bounds that a fleet of 1060 machines could reach: relayed reports (512, now one for each socket), bytes waiting on a link (256 KiB, now 2 MiB), connections waiting for accept (128), users' calls (96, now what the state service answers in 1.5 s if that is more). Lease calls no longer queue behind users' calls. The largest answer that is taken follows machine_limits.ram_mb; a watch's answer beyond it leads to reading the records in pages instead of the same call for ever. Deleted machines and their lines are forgotten after a bound. Frames between controllers carry the asker's process life: copies of beats and answers that come late change nothing, and no worker can be given the answer to an earlier process's relay.

--- a/src/back/frames.cc
+++ b/src/back/frames.cc
@@ -10,14 +10,14 @@
 
 static_assert(std::endian::native == std::endian::little, "frames are little-endian");
 
-std::string pack(Kind kind, uint32_t id, std::string_view payload) {
-    Head h{kMagic, kVersion, static_cast<uint16_t>(kind), id, static_cast<uint32_t>(payload.size())};
+std::string pack(Kind kind, uint32_t id, uint64_t life, std::string_view payload) {
+    Head h{kMagic, kVersion, static_cast<uint16_t>(kind), id, static_cast<uint32_t>(payload.size()), life};
     std::string s(reinterpret_cast<const char*>(&h), sizeof h);
     return s.append(payload);
 }
 
-std::string pack(Kind kind, const Beat& beat) {
-    return pack(kind, 0, std::string_view(reinterpret_cast<const char*>(&beat), sizeof beat));
+std::string pack(Kind kind, uint32_t id, uint64_t life, const Beat& beat) {
+    return pack(kind, id, life, std::string_view(reinterpret_cast<const char*>(&beat), sizeof beat));
 }
 
 std::optional<Frame> Reader::next() {
@@ -30,7 +30,7 @@
         return std::nullopt;
     }
     if (buffer_.size() < sizeof h + h.length) return std::nullopt;
-    Frame f{static_cast<Kind>(h.kind), h.id, buffer_.substr(sizeof h, h.length)};
+    Frame f{static_cast<Kind>(h.kind), h.id, h.life, buffer_.substr(sizeof h, h.length)};
     buffer_.erase(0, sizeof h + h.length);
     return f;
 }
--- a/src/back/siblings.cc
+++ b/src/back/siblings.cc
@@ -3,12 +3,22 @@
 #include <unistd.h>
 
 #include <cstring>
+#include <random>
 
 #include "base/constants.h"
 #include "base/log.h"
 
 namespace hareshore {
 
+namespace {
+
+uint64_t draw_life() {
+    std::random_device source;
+    return (static_cast<uint64_t>(source()) << 32) | source();
+}
+
+}  // namespace
+
 struct Siblings::Link {
     Link(Loop& loop, std::unique_ptr<Stream> s) : stream(std::move(s)), more(loop) {}
     std::unique_ptr<Stream> stream;
@@ -32,30 +42,48 @@
       beat_(std::move(beat)),
       relay_(std::move(relay)),
       links_(config.siblings.size()),
+      life_(draw_life()),
+      most_routines_(std::max(constants::kBackRoutines, config.sockets)),
       news_(loop),
       listener_(loop, listen_on(config.back)),
       scope_(loop) {
-    for (const auto& s : config.siblings) peers_.push_back(Peer{s, -1e9, -1e9, -1e9, {}});
+    for (const auto& s : config.siblings) {
+        Peer p;
+        p.who = s;
+        peers_.push_back(p);
+    }
     scope_.spawn(accept_all(), "back accept");
     for (size_t i = 0; i < peers_.size(); ++i) scope_.spawn(dial(i), "back link");
 }
 
 void Siblings::send(Link& link, std::string frame) {
     // A link that does not drain is cut off; nothing on it is worth keeping for later.
-    if (!link.open || link.outbox.size() + frame.size() > 2 * constants::kFrameLimit) return link.close();
+    if (!link.open || link.outbox.size() + frame.size() > constants::kOutbox) return link.close();
     link.outbox += frame;
     link.more.notify();
 }
 
-void Siblings::heard(const back::Beat& beat, bool answer) {
+// An answer counts only for the very beat that it belongs to, from this process's life; and once. A beat that
+// comes by itself counts if it is newer than the last one of the life that the sibling's answers show. Copies
+// that come late would else show a sibling that is gone as present, or as leading.
+void Siblings::heard(const back::Frame& frame, const back::Beat& beat) {
     for (auto& p : peers_) {
         if (p.who.label != back::label_of(beat)) continue;
-        p.heard = loop_.now();
-        p.beat = beat;
-        if (answer) {
+        Seconds now = loop_.now();
+        if (frame.kind == back::Kind::kBeatAnswer) {
+            if (frame.life != life_ || frame.id <= p.last_answer || frame.id >= next_beat_) return;
+            p.last_answer = frame.id;
+            if (beat.life != p.life) p.last_beat = 0;
             p.answered = static_cast<double>(beat.asked_us) / 1e6;
-            p.answer_at = loop_.now();
+            p.answer_at = now;
+        } else {
+            bool known = beat.life == p.life;
+            if (known ? frame.id <= p.last_beat : now - p.answer_at < constants::kBeatFresh_s) return;
+            p.last_beat = frame.id;
         }
+        p.life = beat.life;
+        p.heard = now;
+        p.beat = beat;
     }
     news_.notify();
 }
@@ -70,8 +98,9 @@
             scope_.spawn(read_all(link, i), "back reader");
             while (link->open) {
                 back::Beat b = beat_();
+                b.life = life_;
                 b.asked_us = static_cast<uint64_t>(loop_.now() * 1e6);
-                send(*link, back::pack(back::Kind::kBeat, b));
+                send(*link, back::pack(back::Kind::kBeat, next_beat_++, life_, b));
                 co_await loop_.sleep(constants::kBeat_s);
             }
             links_[i] = nullptr;
@@ -87,7 +116,7 @@
             co_await loop_.readable(listener_, -1);
         } else if (fd == -2) {
             co_await loop_.sleep(constants::kAcceptPause_s);
-        } else if (scope_.size() > constants::kBackRoutines) {
+        } else if (scope_.size() > most_routines_) {
             close(fd);
         } else {
             scope_.spawn(serve(fd), "back connection");
@@ -126,18 +155,20 @@
                     link->close();
                     break;
                 }
-                heard(*beat, f->kind == back::Kind::kBeatAnswer);
+                heard(*f, *beat);
                 if (f->kind == back::Kind::kBeat) {
                     back::Beat mine = beat_();
+                    mine.life = life_;
                     mine.asked_us = beat->asked_us;
-                    send(*link, back::pack(back::Kind::kBeatAnswer, mine));
+                    send(*link, back::pack(back::Kind::kBeatAnswer, f->id, f->life, mine));
                 }
             } else if (f->kind == back::Kind::kRelay) {
-                if (scope_.size() <= constants::kBackRoutines)
-                    scope_.spawn(answer_relay(link, f->id, std::move(f->payload)), "relayed report");
+                if (scope_.size() <= most_routines_)
+                    scope_.spawn(answer_relay(link, f->id, f->life, std::move(f->payload)), "relayed report");
             } else if (f->payload.size() >= sizeof(back::RelayAnswerHead)) {
-                auto it = calls_.find(f->id);
-                if (it == calls_.end()) continue;  // too late
+                // The answer to an earlier process's relay would give one worker another's commands.
+                auto it = f->life == life_ ? calls_.find(f->id) : calls_.end();
+                if (it == calls_.end()) continue;  // or too late
                 back::RelayAnswerHead h;
                 std::memcpy(&h, f->payload.data(), sizeof h);
                 it->second->answer =
@@ -153,12 +184,12 @@
     link->close();
 }
 
-Task<void> Siblings::answer_relay(std::shared_ptr<Link> link, uint32_t id, std::string body) {
+Task<void> Siblings::answer_relay(std::shared_ptr<Link> link, uint32_t id, uint64_t life, std::string body) {
     Response r = co_await relay_(std::move(body));
     back::RelayAnswerHead h{static_cast<uint16_t>(r.status)};
     std::string payload(reinterpret_cast<const char*>(&h), sizeof h);
     payload += r.body;
-    send(*link, back::pack(back::Kind::kRelayAnswer, id, payload));
+    send(*link, back::pack(back::Kind::kRelayAnswer, id, life, payload));
 }
 
 Task<std::optional<Response>> Siblings::relay(std::string label, std::string body) {
@@ -172,7 +203,7 @@
             uint32_t id;
             ~Forget() { calls.erase(id); }
         } forget{calls_, id};
-        send(*links_[i], back::pack(back::Kind::kRelay, id, body));
+        send(*links_[i], back::pack(back::Kind::kRelay, id, life_, body));
         Seconds until = loop_.now() + constants::kRelay_s;
         while (!call->answer)
             if (co_await loop_.wait(call->done, until) == Wake::kTimeout) break;
--- a/src/back/siblings.h
+++ b/src/back/siblings.h
@@ -22,6 +22,9 @@
         Seconds answered = -1e9;   // when the beat that it answered last was sent
         Seconds answer_at = -1e9;  // and when that answer came
         back::Beat beat{};
+        uint64_t life = 0;         // of its process
+        uint32_t last_beat = 0;    // the newest beat of that life
+        uint32_t last_answer = 0;  // the newest of our beats that it answered
     };
     const std::vector<Peer>& peers() const { return peers_; }
     // Passes a worker's report to a sibling; nothing if it did not answer in time.
@@ -37,8 +40,8 @@
     Task<void> serve(int fd);
     Task<void> read_all(std::shared_ptr<Link> link, size_t peer);
     Task<void> write_all(std::shared_ptr<Link> link);
-    Task<void> answer_relay(std::shared_ptr<Link> link, uint32_t id, std::string body);
-    void heard(const back::Beat& beat, bool answer);
+    Task<void> answer_relay(std::shared_ptr<Link> link, uint32_t id, uint64_t life, std::string body);
+    void heard(const back::Frame& frame, const back::Beat& beat);
     static void send(Link& link, std::string frame);
 
     Loop& loop_;
@@ -47,7 +50,9 @@
     std::vector<Peer> peers_;
     std::vector<std::shared_ptr<Link>> links_;
     std::unordered_map<uint32_t, std::shared_ptr<Call>> calls_;
-    uint32_t next_call_ = 1;
+    uint32_t next_call_ = 1, next_beat_ = 1;
+    const uint64_t life_;
+    const size_t most_routines_;
     Signal news_;
     File listener_;
     Scope scope_;
--- a/src/base/constants.h
+++ b/src/base/constants.h
@@ -18,21 +18,27 @@
 // --- network ----------------------------------------------------------------------------------------
 inline constexpr size_t kHeadLimit = 8 * 1024;      // bytes of request line and headers; ours are < 300
 inline constexpr size_t kDrainLimit = 1024 * 1024;  // bytes of an oversized body read past before closing
-inline constexpr size_t kAnswerLimit = 8 * 1024 * 1024;  // bytes of one answer of state service or cloud
+inline constexpr size_t kAnswerLimit = 8 * 1024 * 1024;  // bytes of one answer of state service or cloud, and
+inline constexpr size_t kAnswerShare = 16;               //   no more than this part of the memory: parsed, it
+                                                         //   takes several times as much
+inline constexpr size_t kAnswerLeast = 1024 * 1024;      // a page of records has 512 KiB
 inline constexpr size_t kReadChunk = 8 * 1024;           // bytes per read; most messages fit into one
 inline constexpr int kNesting = 16;                      // levels of MessagePack nesting; ours need 4
-inline constexpr int kBacklog = 128;                     // connections waiting for accept
-inline constexpr double kIdleConnection_s = 75.0;        // a connection without a request this long is closed
-inline constexpr double kSlowRequest_s = 10.0;           // a request must arrive whole within this
-inline constexpr double kWriteStall_s = 10.0;            // a peer that reads nothing this long is dropped
-inline constexpr double kConnect_s = 1.5;       // connection attempt: far above any healthy round trip
-inline constexpr double kSocketReserve = 0.15;  // share of sockets kept for our own calls to others
-inline constexpr size_t kPoolPerPeer = 8;       // open connections to state service or cloud, each
-inline constexpr size_t kPoolWaiters = 256;     // calls queued for a connection before they fail
-inline constexpr double kAcceptPause_s = 0.1;   // pause after accept fails for want of sockets
+inline constexpr int kBacklog =
+    4096;  // connections waiting for accept: a fleet comes at once to a new leader
+inline constexpr double kIdleConnection_s = 75.0;  // a connection without a request this long is closed
+inline constexpr double kSlowRequest_s = 10.0;     // a request must arrive whole within this
+inline constexpr double kWriteStall_s = 10.0;      // a peer that reads nothing this long is dropped
+inline constexpr double kConnect_s = 1.5;          // connection attempt: far above any healthy round trip
+inline constexpr double kSocketReserve = 0.15;     // share of sockets kept for our own calls to others
+inline constexpr size_t kPoolPerPeer = 8;          // open connections to state service or cloud, each
+inline constexpr size_t kPoolLeases = 2;       // and to the state service for leases: not behind users' calls
+inline constexpr size_t kPoolWaiters = 256;    // calls queued for a connection before they fail
+inline constexpr double kAcceptPause_s = 0.1;  // pause after accept fails for want of sockets
 
 // --- users ------------------------------------------------------------------------------------------
-inline constexpr size_t kUserCalls = 96;       // user requests worked on at once; more get 429
+inline constexpr size_t kUserCalls = 96;  // user requests worked on at once, or as many as the state service
+                                          // answers within kUserRead_s if those are more; others get 429
 inline constexpr double kUserRead_s = 1.5;     // a poll's read: users wait 2 s for a poll
 inline constexpr double kUserWrite_s = 3.5;    // a submission's write: users wait 5 s
 inline constexpr int kRetryAfter_s = 1;        // Retry-After for trouble that is likely short
@@ -58,14 +64,16 @@
 inline constexpr size_t kTxnBytes = 48 * 1024;     // bytes of records in one transaction (limit 64 KiB)
 
 // --- siblings ---------------------------------------------------------------------------------------
-inline constexpr double kBeat_s = 1.0;             // interval of the heartbeat between controllers
-inline constexpr double kBeatFresh_s = 3.5;        // a sibling heard of within this counts as present
-inline constexpr size_t kBackRoutines = 512;       // on the back channel: a zone's workers may all be relayed
-inline constexpr size_t kCutWitnesses = 2;         // workers that come back before their zone counts as cut
-inline constexpr size_t kFrameLimit = 128 * 1024;  // bytes of a frame between controllers
-inline constexpr size_t kPointed = 10'000;         // workers whose redirection is remembered
-inline constexpr double kRelay_s = 3.0;            // a relayed report must be answered by then (worker: 4 s)
-inline constexpr double kRelayAfter_s = 25.0;      // a worker back this soon after a redirection is relayed
+inline constexpr double kBeat_s = 1.0;        // interval of the heartbeat between controllers
+inline constexpr double kBeatFresh_s = 3.5;   // a sibling heard of within this counts as present
+inline constexpr size_t kBackRoutines = 512;  // on the back channel, or one for each socket if those are
+                                              // more: a zone's workers may all be relayed
+inline constexpr size_t kOutbox = 2 * 1024 * 1024;  // bytes waiting on a link: reports of a zone in a second
+inline constexpr size_t kCutWitnesses = 2;          // workers that come back before their zone counts as cut
+inline constexpr size_t kFrameLimit = 128 * 1024;   // bytes of a frame between controllers
+inline constexpr size_t kPointed = 10'000;          // workers whose redirection is remembered
+inline constexpr double kRelay_s = 3.0;             // a relayed report must be answered by then (worker: 4 s)
+inline constexpr double kRelayAfter_s = 25.0;       // a worker back this soon after a redirection is relayed
 inline constexpr double kResignQuiet_s =
     7.0;  // a leader that no worker reached for this long resigns if others hear them
 inline constexpr size_t kResignMachines = 3;   // with fewer machines their silence says little
@@ -96,6 +104,7 @@
 inline constexpr double kListEvery_s = 4.0;      // interval of reading the machine list
 inline constexpr double kFlavorsEvery_s = 30.0;  // interval of reading the prices
 inline constexpr double kCloudCall_s = 6.0;      // a cloud call; answers take some 250 ms
+inline constexpr size_t kGone = 20'000;          // deleted machines that are remembered, against late reports
 inline constexpr double kNoCapacity_s = 12.0;    // a refused kind is not asked for again before this
 inline constexpr double kQuietReports = 2.2;     // after this many missed report_s a machine counts as quiet
 inline constexpr double kDetour_s = 5.0;  // a worker gives a node up after 4 s and asks the next 1 s later
--- a/src/cloud/cloud.cc
+++ b/src/cloud/cloud.cc
@@ -78,6 +78,7 @@
         auto m = Message::parse(a.body);
         if (!m || !m->root()["hosts"].is_list()) co_return std::nullopt;
         Node rows = m->root()["hosts"];
+        std::string before = from;
         for (size_t i = 0; i < rows.size(); ++i) {
             Node n = rows.at(i);
             Machine x;
@@ -95,7 +96,8 @@
             from = x.name;
             machines.push_back(std::move(x));
         }
-        if (!m->root()["has_next"].flag_or(false) || rows.size() == 0) break;
+        // A page that leads no further would be asked for for ever.
+        if (!m->root()["has_next"].flag_or(false) || from == before) break;
     }
     co_return machines;
 }
--- a/src/config/config.cc
+++ b/src/config/config.cc
@@ -114,6 +114,9 @@
                     ? static_cast<size_t>(
                           number(at("facts.machine_limits.sockets"), "facts.machine_limits.sockets", 16, 1e7))
                     : 512;
+    if (at("facts.machine_limits.ram_mb"))
+        c.ram_bytes = static_cast<size_t>(
+            number(at("facts.machine_limits.ram_mb"), "facts.machine_limits.ram_mb", 8, 1e7) * 1024 * 1024);
     return c;
 }
 
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -37,6 +37,7 @@
     double cloud_rps = 0;
     Seconds list_lag_s = 0;
     size_t sockets = 0;
+    size_t ram_bytes = 0;  // 0: not said
 
     std::map<std::string, Seconds> finish_within;  // by class: the strictest aim for a job to be done
     std::map<std::string, std::vector<Seconds>> wait_within;  // by class: the aims for its tasks to start
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -11,14 +11,16 @@
     http_parser_settings settings;
     Answer answer;
     bool complete = false;
+    size_t limit;
 
-    AnswerCollector() {
+    explicit AnswerCollector(size_t most) : limit(most) {
         http_parser_init(&parser, HTTP_RESPONSE);
         parser.data = this;
         http_parser_settings_init(&settings);
         settings.on_body = [](http_parser* p, const char* at, size_t n) {
             auto& a = self(p).answer;
-            if (a.body.size() + n > constants::kAnswerLimit) return 1;
+            a.too_large = a.body.size() + n > self(p).limit;
+            if (a.too_large) return 1;
             a.body.append(at, n);
             return 0;
         };
@@ -44,19 +46,19 @@
 }  // namespace
 
 Task<Answer> HttpClient::exchange(Stream& stream, const std::string& out, Seconds until, bool& keep) {
-    AnswerCollector c;
+    AnswerCollector c(answer_limit_);
     keep = false;
     bool written = co_await stream.write(out, until);
     c.answer.sent = true;
-    if (!written) co_return Answer{0, true, ""};
+    if (!written) co_return Answer{0, true, false, ""};
     char chunk[constants::kReadChunk];
     while (!c.complete) {
         ssize_t n = co_await stream.read(chunk, sizeof chunk, until);
-        if (n < 0) co_return Answer{0, true, ""};
+        if (n < 0) co_return Answer{0, true, false, ""};
         http_parser_execute(&c.parser, &c.settings, chunk, static_cast<size_t>(n));
         auto error = HTTP_PARSER_ERRNO(&c.parser);
-        if (error != HPE_OK && error != HPE_PAUSED) co_return Answer{0, true, ""};
-        if (n == 0 && !c.complete) co_return Answer{0, true, ""};
+        if (error != HPE_OK && error != HPE_PAUSED) co_return Answer{0, true, c.answer.too_large, ""};
+        if (n == 0 && !c.complete) co_return Answer{0, true, false, ""};
     }
     keep = http_should_keep_alive(&c.parser) != 0;
     c.answer.status = static_cast<int>(c.parser.status_code);
--- a/src/lead/leader.cc
+++ b/src/lead/leader.cc
@@ -597,7 +597,11 @@
         jobs_.host_gone(name, loop_.now());
         cluster_.hosts.erase(name);
         lines_.erase(name);  // wakes what waits on it
-        gone_.insert(name);
+        if (gone_.insert(name).second) gone_order_.push_back(name);
+        if (gone_order_.size() > constants::kGone) {
+            gone_.erase(gone_order_.front());
+            gone_order_.pop_front();
+        }
     }
     ask_round();
 }
--- a/src/lead/leader.h
+++ b/src/lead/leader.h
@@ -99,7 +99,8 @@
     JobTable jobs_;
     Cluster cluster_;
     std::unordered_map<std::string, std::unique_ptr<Line>> lines_;
-    std::set<std::string> gone_;                          // machines whose deletion was confirmed
+    std::set<std::string> gone_;  // machines whose deletion was confirmed
+    std::deque<std::string> gone_order_;
     std::unordered_map<std::string, uint64_t> finished_;  // jobs erased from the table, with the revision
     std::deque<std::string> finished_order_;
     std::map<Kind, Seconds> refused_until_;
--- a/src/node.cc
+++ b/src/node.cc
@@ -25,6 +25,12 @@
     return static_cast<size_t>(static_cast<double>(c.sockets) * (1 - constants::kSocketReserve)) - 4;
 }
 
+size_t answer_limit(const Config& c) {
+    if (c.ram_bytes == 0) return constants::kAnswerLimit;
+    return std::clamp(c.ram_bytes / constants::kAnswerShare, constants::kAnswerLeast,
+                      constants::kAnswerLimit);
+}
+
 const std::string kFlavorsKey = "flavors";
 
 }  // namespace
@@ -34,7 +40,7 @@
       config_(config),
       settings_(settings),
       started_(loop.now()),
-      state_(loop, config.state),
+      state_(loop, config.state, answer_limit(config)),
       cloud_(loop, config.cloud, config.cloud_rps, config.siblings.size() + 1),
       election_(loop, state_, config.label, place_of(config)),
       users_(loop, config, state_, flavors_),
--- a/src/state/state.cc
+++ b/src/state/state.cc
@@ -4,10 +4,6 @@
 
 namespace hareshore {
 
-size_t StateService::constants_pool() {
-    return constants::kPoolPerPeer;
-}
-
 Txn& Txn::expect(std::string key, uint64_t stamp) {
     when.emplace_back(std::move(key), stamp);
     return *this;
@@ -65,14 +61,15 @@
 
 }  // namespace
 
-Task<Answer> StateService::call(std::string method, std::string path, std::string body, Seconds timeout) {
-    Answer a = co_await http_.call(std::move(method), std::move(path), std::move(body), timeout);
+Task<Answer> StateService::call(HttpClient& on, std::string method, std::string path, std::string body,
+                                Seconds timeout) {
+    Answer a = co_await on.call(std::move(method), std::move(path), std::move(body), timeout);
     if (a.status == 200 || a.status == 404 || a.status == 409) last_contact_ = loop_.now();
     co_return a;
 }
 
 Task<GetResult> StateService::get(std::string key, Seconds timeout) {
-    Answer a = co_await call("GET", "/keys/" + key, "", timeout);
+    Answer a = co_await call(http_, "GET", "/keys/" + key, "", timeout);
     GetResult r;
     r.reply = verdict(a);
     if (r.reply != Reply::kOk && r.reply != Reply::kAbsent) co_return r;
@@ -97,7 +94,7 @@
 Task<ListResult> StateService::list(std::string prefix, std::string from, size_t page, Seconds timeout) {
     std::string path = "/keys?prefix=" + prefix + "&page=" + std::to_string(page);
     if (!from.empty()) path += "&from=" + from;
-    Answer a = co_await call("GET", std::move(path), "", timeout);
+    Answer a = co_await call(http_, "GET", std::move(path), "", timeout);
     ListResult r;
     r.reply = verdict(a);
     if (r.reply != Reply::kOk) {
@@ -127,7 +124,7 @@
 
 Task<TxnResult> StateService::commit(Txn txn, Seconds timeout) {
     std::string body = txn.pack();
-    Answer a = co_await call("POST", "/txn", std::move(body), timeout);
+    Answer a = co_await call(http_, "POST", "/txn", std::move(body), timeout);
     TxnResult r;
     r.reply = verdict(a);
     if (r.reply != Reply::kOk && r.reply != Reply::kConflict) co_return r;
@@ -146,7 +143,7 @@
 Task<LeaseResult> StateService::grant(Seconds ttl, Seconds timeout) {
     Packer p;
     p.map(1).key("ttl_ms").count(static_cast<uint64_t>(ttl * 1000));
-    Answer a = co_await call("POST", "/leases", p.take(), timeout);
+    Answer a = co_await call(leases_, "POST", "/leases", p.take(), timeout);
     LeaseResult r;
     r.reply = verdict(a);
     if (r.reply == Reply::kOk) {
@@ -158,12 +155,12 @@
 }
 
 Task<Reply> StateService::renew(uint64_t lease, Seconds timeout) {
-    Answer a = co_await call("POST", "/leases/" + std::to_string(lease) + "/renew", "", timeout);
+    Answer a = co_await call(leases_, "POST", "/leases/" + std::to_string(lease) + "/renew", "", timeout);
     co_return verdict(a);
 }
 
 Task<Reply> StateService::revoke(uint64_t lease, Seconds timeout) {
-    Answer a = co_await call("DELETE", "/leases/" + std::to_string(lease), "", timeout);
+    Answer a = co_await call(leases_, "DELETE", "/leases/" + std::to_string(lease), "", timeout);
     co_return verdict(a);
 }
 
@@ -172,8 +169,11 @@
                        "&wait_ms=" + std::to_string(static_cast<int>(wait * 1000));
     Answer a = co_await watches_.call("GET", std::move(path), "", wait + constants::kStateCall_s);
     ChangesResult r;
-    r.reply = a.status == 410 ? Reply::kAbsent : verdict(a);
-    if (a.status != 410 && r.reply != Reply::kOk) {
+    // An answer has no size limit: one that we do not take would come again and again, so that the keys are
+    // read anew, in pages.
+    bool again = a.status == 410 || a.too_large;
+    r.reply = again ? Reply::kAbsent : verdict(a);
+    if (!again && r.reply != Reply::kOk) {
         r.reply = garbled(r.reply);
         co_return r;
     }
--- a/src/state/state.h
+++ b/src/state/state.h
@@ -76,8 +76,11 @@
 
 class StateService {
   public:
-    StateService(Loop& loop, Address at)
-        : loop_(loop), http_(loop, at, constants_pool()), watches_(loop, at, 4) {}
+    StateService(Loop& loop, Address at, size_t answer_limit = constants::kAnswerLimit)
+        : loop_(loop),
+          http_(loop, at, constants::kPoolPerPeer, answer_limit),
+          leases_(loop, at, constants::kPoolLeases),
+          watches_(loop, at, 4, answer_limit) {}
     Task<GetResult> get(std::string key, Seconds timeout);
     Task<ListResult> list(std::string prefix, std::string from, size_t page, Seconds timeout);
     Task<TxnResult> commit(Txn txn, Seconds timeout);
@@ -89,11 +92,12 @@
     Seconds last_contact() const { return last_contact_; }
 
   private:
-    static size_t constants_pool();
-    Task<Answer> call(std::string method, std::string path, std::string body, Seconds timeout);
+    Task<Answer> call(HttpClient& on, std::string method, std::string path, std::string body,
+                      Seconds timeout);
 
     Loop& loop_;
     HttpClient http_;
+    HttpClient leases_;
     HttpClient watches_;
     Seconds last_contact_ = -1;
 };
--- a/src/users/service.cc
+++ b/src/users/service.cc
@@ -19,7 +19,14 @@
 
 UserService::UserService(Loop& loop, const Config& config, StateService& state,
                          const std::vector<Flavor>& flavors)
-    : loop_(loop), config_(config), state_(state), flavors_(flavors), last_withdrawal_(loop.now()) {}
+    : loop_(loop),
+      config_(config),
+      state_(state),
+      flavors_(flavors),
+      most_busy_(std::max(constants::kUserCalls,
+                          static_cast<size_t>(config.state_rps * constants::kUserRead_s /
+                                              static_cast<double>(config.siblings.size() + 1)))),
+      last_withdrawal_(loop.now()) {}
 
 Task<Response> UserService::handle(const Request& request) {
     static const std::string base = "/v2/runs";
@@ -29,7 +36,7 @@
         co_return plain(404, "unknown path");
     }
     // More than can be worked on: the user is told at once when to come back.
-    if (busy_ >= constants::kUserCalls) co_return unavailable(429);
+    if (busy_ >= most_busy_) co_return unavailable(429);
     struct Busy {
         size_t& n;
         explicit Busy(size_t& x) : n(x) { ++n; }
--- a/src/users/service.h
+++ b/src/users/service.h
@@ -39,6 +39,7 @@
     StateService& state_;
     const std::vector<Flavor>& flavors_;
     size_t busy_ = 0;
+    size_t most_busy_;
     Seconds last_withdrawal_;
     std::unordered_map<std::string, FinalRecord> finals_;
     std::deque<std::string> finals_order_;
--- a/tests/base_test.cc
+++ b/tests/base_test.cc
@@ -156,7 +156,7 @@
     back::set_label(beat, "node-0");
     Packer p;
     p.map(4).key("host").text("vm-1").key("tenure").count(1).key("tick").count(2).key("epoch").count(3);
-    std::vector<std::string> seeds{r.pack(), p.take(), back::pack(back::Kind::kBeat, beat),
+    std::vector<std::string> seeds{r.pack(), p.take(), back::pack(back::Kind::kBeat, 1, 2, beat),
                                    "(hold-s 4)(min-machines 1)"};
     std::mt19937 rng(11);
     size_t taken = 0;
--- a/tests/controller_test.cc
+++ b/tests/controller_test.cc
@@ -332,6 +332,31 @@
     EXPECT_TRUE(s.state.rows.count("f/job-5"));
 }
 
+// A watch's answer has no size limit. One that is larger than is taken must lead to reading the records in
+// pages, not to asking for the same answer for ever.
+TEST(Controller, ReadsInPagesWhatIsTooLargeForOneAnswer) {
+    Site s;
+    s.configs[0].ram_bytes = 8 * 1024 * 1024;
+    s.state.page = 50;
+    s.start(0);
+    ASSERT_TRUE(s.until([&] { return s.leader() == 0; }));
+    s.run(1);
+    s.state.down = true;  // open watches wait
+    for (int i = 0; i < 300; ++i) {
+        JobRecord r;
+        r.spec.id = "job-" + std::to_string(i);
+        r.spec.team = "team";
+        r.spec.tasks = 1;
+        r.spec.image = std::string(5000, 'x');
+        Txn t;
+        t.expect(live_key(r.spec.id), 0).put(live_key(r.spec.id), r.pack());
+        ASSERT_EQ(s.state.apply(t.pack()).status, 200);
+    }
+    s.state.down = false;
+    s.run(10);
+    EXPECT_EQ(s.nodes[0]->leader()->jobs().size(), 300u);
+}
+
 TEST(Controller, StartsFromKeptMachineTypesWhileTheCloudIsAway) {
     Site s;
     s.start(0);
@@ -607,3 +632,34 @@
         EXPECT_TRUE(s.cloud.deleted.empty());
     }
 }
+
+// Late copies of what controllers said to each other: a beat of a process that is gone, and answers that
+// belong to no request of this process, change nothing.
+TEST(Controller, LateCopiesOfFramesShowNothing) {
+    Site s(2);
+    s.start(0);
+    s.start(1);
+    ASSERT_TRUE(s.until([&] { return s.leader() >= 0; }));
+    int leader = s.leader();
+    size_t at = static_cast<size_t>(leader);
+    s.run(4);
+    back::Beat b{};
+    back::set_label(b, s.configs[1 - at].label);
+    b.life = 7;
+    b.epoch = 50;
+    b.leads = 1;
+    b.asked_us = static_cast<uint64_t>((s.loop.now() + 100) * 1e6);
+    std::string frames = back::pack(back::Kind::kBeat, 1000, 7, b) +
+                         back::pack(back::Kind::kBeatAnswer, 1, 7, b) +
+                         back::pack(back::Kind::kRelayAnswer, 1, 7, std::string("\xc8\0", 2));
+    Scope scope(s.loop);
+    auto send = [](Loop& l, Address to, std::string bytes) -> Task<void> {
+        auto stream = co_await connect_to(l, to, l.now() + 1);
+        if (stream) co_await stream->write(bytes, l.now() + 1);
+        co_await l.sleep(5);
+    };
+    scope.spawn(send(s.loop, s.configs[at].back, frames), "copies");
+    s.run(3);
+    EXPECT_EQ(s.leader(), leader);
+    EXPECT_EQ(s.nodes[at]->election().known_epoch(), s.nodes[at]->election().epoch());
+}
