--- a/src/match/match.cc
+++ b/src/match/match.cc
@@ -214,6 +214,8 @@
             }
         }
         serve_singles(singles);
+        for (const auto& q : jobs)  // no machine that asked had room to be offered
+            if (q.job->why == Wait::kNew && q.job->waiting()) q.job->why = Wait::kNoRoom;
     }
 
     void serve_singles(const std::vector<Queued>& jobs) {
@@ -305,9 +307,15 @@
         if (n > most) return {};
         for (Host* h : usable_)
             if ((zone.empty() || h->zone == zone) && fits(job, *h)) hosts.push_back(h);
+        // Of machines that are alike, those that can be told first: a held report is answered at once, and
+        // the next one comes soonest from where the last is oldest.
+        auto key = [&](const Host* h) {
+            return std::tuple(!h->cache.has(job.spec.image), h->free.gpus, h->free.cpus, !h->holding,
+                              h->last_report);
+        };
         std::sort(hosts.begin(), hosts.end(), [&](const Host* a, const Host* b) {
-            return std::tuple(!a->cache.has(job.spec.image), a->free.gpus, a->free.cpus, a->name) <
-                   std::tuple(!b->cache.has(job.spec.image), b->free.gpus, b->free.cpus, b->name);
+            auto x = key(a), y = key(b);
+            return x != y ? x < y : a->name < b->name;
         });
         std::vector<Host*> out;
         ZoneRule rule(job);
