--- a/src/fleet/plan.cc
+++ b/src/fleet/plan.cc
@@ -57,7 +57,7 @@
         for (const auto& [name, h] : cluster_.hosts) {
             if (h->deleting) continue;
             const Flavor* f = cluster_.flavor(h->flavor);
-            bool cut = cut_.count(h->zone) > 0;
+            bool cut = plan_.cut.count(h->zone) > 0;
             Seconds patience = cut ? constants::kCutPatience * in_.config.lease_s : silent_after();
             if (h->phase == MachinePhase::kFailed) {
                 give_back(*h, "it failed");
@@ -85,7 +85,13 @@
         }
     }
 
-    Seconds quiet(const Host& h) const { return in_.now - std::max(h.last_report, in_.leading_since); }
+    // Counted anew from the end of a cut: when half of a zone is heard again, the rest is still on its way,
+    // and was returned at once for a silence that was the cut's.
+    Seconds quiet(const Host& h) const {
+        auto cut = in_.cut_at.find(h.zone);
+        Seconds since = cut == in_.cut_at.end() || plan_.cut.count(h.zone) ? -1e9 : cut->second;
+        return in_.now - std::max({h.last_report, in_.leading_since, since});
+    }
 
     bool late(const Host& h) const {
         return !h.holding && quiet(h) > constants::kQuietReports * in_.config.report_s;
@@ -106,7 +112,7 @@
             if (late(*h) || h->unheard_since >= 0) ++quiet;
         }
         for (const auto& [zone, n] : zones)
-            if (n.first >= 3 && n.first * 2 > n.second) cut_.insert(zone);
+            if (n.first >= 3 && n.first * 2 > n.second) plan_.cut.insert(zone);
     }
 
     // A worker silent this long is unreachable: reports are missing, not only on a detour to another node.
@@ -129,7 +135,7 @@
             // machine takes up the epoch or the cloud lists it, it is no room to count on.
             if (h->reported && !h->current && !h->listed) continue;
             if (h->unheard_since >= 0) continue;
-            if (cut_.count(h->zone) && late(*h)) continue;
+            if (plan_.cut.count(h->zone) && late(*h)) continue;
             Slot s;
             s.host = h.get();
             s.kind = {h->flavor, h->zone, h->spot};
@@ -172,7 +178,7 @@
     }
 
     bool refused(const Kind& k) const {
-        if (cut_.count(k.zone)) return true;
+        if (plan_.cut.count(k.zone)) return true;
         auto it = in_.refused_until.find(k);
         return it != in_.refused_until.end() && in_.now < it->second;
     }
@@ -381,8 +387,7 @@
     std::vector<size_t> open_;  // those with room for something that waits
     Amount least_;              // what no waiting task asks less than
     std::map<std::string, int> in_zone_;
-    std::set<std::string> cut_;  // zones
-    size_t ordered_ = 0;         // machines asked for and not rented yet, with those of this plan
+    size_t ordered_ = 0;  // machines asked for and not rented yet, with those of this plan
     FleetPlan plan_;
 };
 
--- a/src/fleet/plan.h
+++ b/src/fleet/plan.h
@@ -22,6 +22,7 @@
     std::set<std::string> silent;                // of these: kept if they are heard in time
     std::vector<std::string> empty_out;          // their tasks are to be moved, so that they can be returned
     std::map<std::string, std::string> reasons;  // by machine
+    std::set<std::string> cut;                   // zones taken for cut off
 };
 
 struct FleetInput {
@@ -32,7 +33,8 @@
     std::map<Kind, Seconds> refused_until;  // kinds without capacity
     std::vector<Rental> on_order;           // asked for, not answered yet
     bool cloud_up = true;
-    bool spot_allowed = false;  // every job seen lately may use spot machines
+    bool spot_allowed = false;                // every job seen lately may use spot machines
+    std::map<std::string, Seconds> cut_at{};  // when a plan last took a zone for cut off
     uint64_t* steps = nullptr;  // counts the machines looked at for jobs; for tests of its growth
 };
 
--- a/src/lead/leader.cc
+++ b/src/lead/leader.cc
@@ -488,11 +488,16 @@
         if (term_.epoch > 1 && loop_.now() - loaded_at_ < constants::kLeaderSettle_s) continue;
         jobs_.find_crawlers(cluster_, loop_.now());
         FleetInput in{config_,        settings_, loop_.now(), std::max(loaded_at_, listening_since_),
-                      refused_until_, on_order_, true,        kind_seen_spot_only()};
+                      refused_until_, on_order_, true,        kind_seen_spot_only(),
+                      cut_at_};
         cluster_.recount(jobs_, loop_.now(),
                          constants::kFreshReports * config_.report_s);  // without what is kept
         account(constants::kFleetTick_s);
         FleetPlan plan = plan_fleet(cluster_, jobs_, in);
+        for (const auto& zone : plan.cut) {
+            if (loop_.now() - cut_at_[zone] > constants::kWhyLog_s) log::info("zone {} seems cut off", zone);
+            cut_at_[zone] = loop_.now();
+        }
         for (auto& r : plan.rent) {
             while (r.number > 0) {
                 Rental part{r.kind, std::min(r.number, constants::kRentAtMost)};
--- a/src/lead/leader.h
+++ b/src/lead/leader.h
@@ -105,6 +105,7 @@
     std::deque<std::string> finished_order_;
     std::map<Kind, Seconds> refused_until_;
     std::vector<Rental> on_order_;
+    std::map<std::string, Seconds> cut_at_;  // when a zone was last taken for cut off
     Seconds flavors_read_ = -1e9;
     bool flavors_kept_ = false;
 
--- a/tests/lifecycle_test.cc
+++ b/tests/lifecycle_test.cc
@@ -475,6 +475,18 @@
         EXPECT_EQ(plan.rent[0].number, 2);
         cut.now = then + constants::kCutPatience * config.lease_s + 1;
         EXPECT_EQ(plan_fleet(cluster, jobs, cut).give_back.size(), 6u) << "some day they are given up";
+        // The cut ends, and most are heard again: the others have as long as any that falls silent.
+        cut.now = now + 1;
+        cut.cut_at["a"] = now;
+        for (int i = 0; i < 4; ++i) {
+            Host& h = *cluster.host("vm-" + std::to_string(i));
+            h.reported = true;
+            h.last_report = cut.now;
+        }
+        EXPECT_TRUE(plan_fleet(cluster, jobs, cut).silent.empty());
+        cut.now += 2 * config.lease_s;
+        for (int i = 0; i < 4; ++i) cluster.host("vm-" + std::to_string(i))->last_report = cut.now;
+        EXPECT_EQ(plan_fleet(cluster, jobs, cut).silent.size(), 2u);
     }
 }
 
@@ -814,7 +826,7 @@
         for (int i = 0; i < machines; i += 50) in.askers.push_back(hosts[static_cast<size_t>(i)]);
         match(cluster, jobs, in);
         cluster.recount(jobs, now, 6);
-        FleetInput f{config, settings, now, now, {}, {}, true, false, &c.plan};
+        FleetInput f{config, settings, now, now, {}, {}, true, false, {}, &c.plan};
         plan_fleet(cluster, jobs, f);
         return c;
     };
