--- a/src/config/config.cc
+++ b/src/config/config.cc
@@ -116,7 +116,7 @@
                     : 512;
     if (at("facts.machine_limits.ram_mb"))
         c.ram_bytes = static_cast<size_t>(
-            number(at("facts.machine_limits.ram_mb"), "facts.machine_limits.ram_mb", 8, 1e7) * 1024 * 1024);
+            number(at("facts.machine_limits.ram_mb"), "facts.machine_limits.ram_mb", 1, 1e7) * 1024 * 1024);
     return c;
 }
 
--- a/tests/base_test.cc
+++ b/tests/base_test.cc
@@ -83,6 +83,17 @@
     EXPECT_EQ(c.value_bytes, 8192u);
     EXPECT_EQ(c.team("t")->gpus_max, 8.0);
     EXPECT_EQ(c.team("u"), nullptr);
+    EXPECT_EQ(c.ram_bytes, 0u) << "not said";
+    // A larger deployment than any so far, with fields that are new.
+    std::string text = std::string(kGood) +
+                       "[facts.machine_limits]\ncores = 0.2\nram_mb = 300.0\nsockets = 4000\ngpus = 1\n";
+    for (int i = 0; i < 40; ++i)
+        text += "[[siblings]]\nlabel = \"m" + std::to_string(i) + "\"\nsite = \"z" + std::to_string(i % 9) +
+                "\"\naddr = \"10.0.1." + std::to_string(i) + ":8081\"\nrack = 3\n";
+    c = Config::parse(text);
+    EXPECT_GE(c.siblings.size(), 40u);
+    EXPECT_EQ(c.sockets, 4000u);
+    EXPECT_EQ(c.ram_bytes, 300u * 1024 * 1024);
 }
 
 TEST(Config, NamesTheFieldThatIsMissingOrInvalid) {
@@ -102,6 +113,9 @@
     EXPECT_NE(error("lease_s = 24.0", "lease_s = nan").find("facts.workers.lease_s"), std::string::npos);
     EXPECT_NE(error("lease_s = 24.0", "lease_s = \"24\"").find("facts.workers.lease_s"), std::string::npos);
     EXPECT_NE(error("cancel_s = 49.0", "cancel_s = 20.0").find("cancel_s"), std::string::npos);
+    EXPECT_NE(error("list_lag_s = 6.0", "list_lag_s = 6.0\n[facts.machine_limits]\nram_mb = -1")
+                  .find("facts.machine_limits.ram_mb"),
+              std::string::npos);
     EXPECT_NE(error("back = \"10.0.0.1:8081\"", "back = \"host\"").find("back"), std::string::npos);
     EXPECT_NE(error("site = \"a\"", "site = ").find("line"), std::string::npos);
 }
--- a/tests/controller_test.cc
+++ b/tests/controller_test.cc
@@ -1,4 +1,6 @@
 // Whole controllers against scripted peers.
+#include <sys/resource.h>
+
 #include <algorithm>
 
 #include "base/constants.h"
@@ -473,7 +475,13 @@
 // the reports, not with reports times machines.
 TEST(Controller, ACrowdOfReportsSharesItsRounds) {
     Site s;
-    s.configs[0].sockets = 800;
+    // Each worker takes two descriptors of this process.
+    rlimit files{};
+    getrlimit(RLIMIT_NOFILE, &files);
+    files.rlim_cur = files.rlim_max;
+    setrlimit(RLIMIT_NOFILE, &files);
+    ASSERT_GE(files.rlim_cur, 2500u);
+    s.configs[0].sockets = 2000;
     s.start(0);
     ASSERT_TRUE(s.until([&] { return s.leader() == 0; }));
     s.run(1);
@@ -485,23 +493,23 @@
                               }))
                   .status,
               201);
-    std::vector<FakeWorker> workers(100);
+    std::vector<FakeWorker> workers(1000);
     int answered = 0;
     Scope scope(s.loop);
     auto go = [](Loop& l, Address at, FakeWorker& w, int& n) -> Task<void> {
         n += co_await w.hello(l, at) == 200;
     };
     for (size_t i = 0; i < workers.size(); ++i) {
-        workers[i].name = "vm-" + std::to_string(1000 + i);
+        workers[i].name = "vm-" + std::to_string(10000 + i);
         scope.spawn(go(s.loop, s.configs[0].listen, workers[i], answered), "hello");
     }
     uint64_t before = s.nodes[0]->leader()->rounds_done();
     Seconds began = s.loop.now();
-    ASSERT_TRUE(s.until([&] { return answered == 100; }, 10));
+    ASSERT_TRUE(s.until([&] { return answered == 1000; }, 10));
     uint64_t rounds = s.nodes[0]->leader()->rounds_done() - before;
     EXPECT_LE(static_cast<double>(rounds), 2 + (s.loop.now() - began) / constants::kRound_s);
     EXPECT_LT(rounds, 50u) << "far fewer than reports";
-    EXPECT_EQ(s.nodes[0]->leader()->machines_reported(), 100u);
+    EXPECT_EQ(s.nodes[0]->leader()->machines_reported(), 1000u);
 }
 
 // Controllers that start in an outage of the state service are open for users all the same, and tell them
