--- a/src/lead/leader.cc
+++ b/src/lead/leader.cc
@@ -410,7 +410,11 @@
             ask_round();
         }
     } while (line(host).again);
-    line(host).ordering = false;
+    if (cluster_.host(host)) {
+        line(host).ordering = false;
+    } else {
+        lines_.erase(host);
+    }
 }
 
 // --- fleet --------------------------------------------------------------------------------------------
--- a/tests/controller_test.cc
+++ b/tests/controller_test.cc
@@ -16,6 +16,15 @@
     return m ? m->root()["phase"].text_or("") : "";
 }
 
+std::vector<FakeWorker> settled_workers(Site& s, size_t n) {
+    std::vector<FakeWorker> workers(n);
+    for (size_t i = 0; i < n; ++i) {
+        workers[i].name = "vm-00000" + std::to_string(i);
+        s.settle(workers[i]);
+    }
+    return workers;
+}
+
 }  // namespace
 
 TEST(Controller, RunsAJobFromSubmissionToDone) {
@@ -256,11 +265,7 @@
     s.start(1);
     ASSERT_TRUE(s.until([&] { return s.leader() >= 0; }));
     int first = s.leader();
-    std::vector<FakeWorker> workers(4);
-    for (size_t i = 0; i < workers.size(); ++i) {
-        workers[i].name = "vm-00000" + std::to_string(i);
-        s.settle(workers[i]);
-    }
+    auto workers = settled_workers(s, 4);
     // Busy machines are answered at once.
     ASSERT_EQ(s.call(first, "POST", "/v2/runs",
                      job_body("job-1",
@@ -608,11 +613,7 @@
         s.start(0);
         ASSERT_TRUE(s.until([&] { return s.leader() == 0; }));
         s.run(6);
-        std::vector<FakeWorker> workers(2);
-        for (size_t i = 0; i < workers.size(); ++i) {
-            workers[i].name = "vm-00000" + std::to_string(i);
-            s.settle(workers[i]);
-        }
+        auto workers = settled_workers(s, 2);
         s.run(3);
         // The clock jumps between two turns of the loop, wherever its routines are.
         for (int steps : {0, 1, 2, 5}) {
