Stop work where its start counts already and least is lost since its last checkpoint

Now machines are taken where the stop loses least, in GPU seconds: progress since the last checkpoint, the next start, and a start that is not 30 s old yet. The test fails with the old order.

--- a/src/base/constants.h
+++ b/src/base/constants.h
@@ -121,6 +121,8 @@
     3.0;                                     // room is made for an image that takes longer than this to fetch
 inline constexpr double kClaimWait_s = 4.0;  // and waited for this long
 inline constexpr double kStartLead_s = 8.0;  // from a binding to the start: launch and a common image's fetch
+inline constexpr double kStartCounts_s =
+    30.0;  // a task stopped sooner after its start does not count as started
 inline constexpr double kLateShare =
     0.7;  // a job with less than this share of its estimate left will be late
 inline constexpr int kUnheardLaunches = 3;    // launches without effect that show a machine hears nothing
--- a/src/match/match.cc
+++ b/src/match/match.cc
@@ -1,6 +1,7 @@
 #include "match/match.h"
 
 #include <algorithm>
+#include <cmath>
 #include <tuple>
 
 #include "base/constants.h"
@@ -448,9 +449,17 @@
                 job.spec.image_gb < constants::kClaimFetch_s * f->fetch_gb_per_s)
                 continue;
             offers.push_back(o);
-            std::erase_if(offers.back().steps, [](const std::vector<Victim>& step) {
-                return std::any_of(step.begin(), step.end(), [](const Victim& v) { return !v.job->hasty(); });
-            });
+            Offer& mine = offers.back();
+            size_t kept = 0;
+            for (size_t i = 0; i < mine.steps.size(); ++i) {
+                const auto& step = mine.steps[i];
+                if (!std::all_of(step.begin(), step.end(), [](const Victim& v) { return v.job->hasty(); }))
+                    continue;
+                if (kept != i) mine.steps[kept] = std::move(mine.steps[i]);
+                mine.losses[kept++] = mine.losses[i];
+            }
+            mine.steps.resize(kept);
+            mine.losses.resize(kept);
         }
         std::vector<std::string> zones = job.spec.one_zone ? in_.config.zones : std::vector<std::string>{""};
         Room best;
@@ -474,6 +483,7 @@
         uint64_t changes = 0;                    // of the machine when this was found
         uint32_t places = 0;                     // without further victims
         std::vector<std::vector<Victim>> steps;  // each frees one more place
+        std::vector<double> losses;              // of the steps
         std::vector<Seconds> later;              // when further places are expected
     };
 
@@ -531,12 +541,25 @@
         return q.entitled && victim.spec.team != q.job->spec.team && entitled_.count(&victim) == 0;
     }
 
+    // What stopping a task costs, in GPU seconds: the progress since its last checkpoint, or what its start
+    // took so far, and its next start.
+    double loss(const Victim& v) const {
+        const Placement& p = *v.placement;
+        Seconds spent = in_.now - (p.running_since >= 0 ? p.running_since : p.bound_at);
+        // A start counts for the aims only if the task is not stopped soon after it.
+        if (p.running_since < 0 || spent < constants::kStartCounts_s)
+            spent += constants::kStartCounts_s;
+        else if (v.job->spec.checkpoint_s > 0)
+            spent = std::fmod(spent, v.job->spec.checkpoint_s);
+        return v.job->spec.gpus * (spent + constants::kStartLead_s);
+    }
+
     // Those that lose least go first: arrays before gangs, what can save before what cannot, the lowest
-    // priority, those that are late anyway, and the latest start.
+    // priority, those that are late anyway, and the least lost by the stop.
     void sort_by_loss(std::vector<Victim>& victims) const {
         auto key = [&](const Victim& v) {
             return std::tuple(v.job->spec.gang(), v.job->spec.checkpoint_s <= 0, v.job->spec.rank,
-                              !v.job->late(in_.config, in_.now), -v.placement->bound_at);
+                              !v.job->late(in_.config, in_.now), loss(v));
         };
         std::sort(victims.begin(), victims.end(), [&](const Victim& a, const Victim& b) {
             auto x = key(a), y = key(b);
@@ -572,12 +595,15 @@
         }
         uint32_t places = o.places;
         std::vector<Victim> step;
+        double lost = 0;
         for (const Victim& v : victims) {
             room += Amount::of(v.job->spec);
             step.push_back(v);
+            lost += loss(v);
             uint32_t now = room.fits(q.job->spec, most);
             while (now > places) {
                 o.steps.push_back(std::exchange(step, {}));
+                o.losses.push_back(std::exchange(lost, 0));
                 ++places;
             }
         }
@@ -637,8 +663,7 @@
             const Offer* offer;
             size_t index;
             auto key(const Job& j) const {
-                return std::tuple(!offer->host->cache.has(j.spec.image), offer->steps[index].size(), offer,
-                                  index);
+                return std::tuple(!offer->host->cache.has(j.spec.image), offer->losses[index], offer, index);
             }
         };
         std::vector<Step> steps;
@@ -654,7 +679,7 @@
         }
         std::vector<Host*> free = r.keep;
         uint32_t missing = left;
-        // Machines that have the image first, then those with the fewest victims. Steps of one machine are
+        // Machines that have the image first, then those where least is lost. Steps of one machine are
         // taken in order, so that at most as many are passed over as are taken.
         auto first_steps = steps.begin() + static_cast<long>(std::min<size_t>(steps.size(), 2 * left));
         std::partial_sort(steps.begin(), first_steps, steps.end(),
--- a/tests/lifecycle_test.cc
+++ b/tests/lifecycle_test.cc
@@ -574,6 +574,39 @@
     EXPECT_GT(std::max(low.live.at(0).grace_s, low.live.at(1).grace_s), 2) << "with time to save";
 }
 
+// A gang of high priority needs two whole machines of four that run work which yields. It takes those where
+// least is lost: not those whose tasks have only just started, which would not even count as started, nor the
+// one that is furthest from its last checkpoint.
+TEST_F(Lifecycle, StopsWorkWhereLeastIsLost) {
+    config.teams[0].gpus_max = 0;
+    std::vector<Job*> low;
+    for (int i = 0; i < 4; ++i) {
+        Host& h = machine("vm-" + std::to_string(i));
+        Job& j = add(spec("job-" + std::to_string(i), 2));
+        low.push_back(&j);
+        pull({&h});
+        for (auto& [n, p] : j.live) p.seen = true;
+    }
+    now = 1000;
+    Seconds began[] = {now - 5, now - 100, now - 109, now - 101};  // checkpoints come every 10 s
+    for (size_t i = 0; i < 4; ++i)
+        for (auto& [n, p] : low[i]->live) p.running_since = began[i];
+    JobSpec s = spec("job-9", 2, Shape::kGang);
+    s.gpus = 2;
+    s.cpus = 8;
+    s.rank = Rank::kHigh;
+    add(s);
+    pull({});
+    auto stopping = [&](size_t i) {
+        return std::count_if(low[i]->live.begin(), low[i]->live.end(),
+                             [](auto& p) { return p.second.stopping; });
+    };
+    EXPECT_EQ(stopping(0), 0);
+    EXPECT_EQ(stopping(1), 2);
+    EXPECT_EQ(stopping(2), 0);
+    EXPECT_EQ(stopping(3), 2);
+}
+
 // Launch after launch comes to nothing although newer reports arrive: the machine does not hear its answers.
 // The task goes elsewhere, nothing more is bound there, and the machine is replaced.
 TEST_F(Lifecycle, GivesUpAMachineThatReportsButDoesNotHear) {
