--- a/tests/controller_test.cc
+++ b/tests/controller_test.cc
@@ -675,3 +675,57 @@
     EXPECT_EQ(s.leader(), leader);
     EXPECT_EQ(s.nodes[at]->election().epoch(), epoch);
 }
+
+// Requests that were carried out come again, late: every transaction of the controllers and all that users
+// asked. None changes a job, a leadership or an answer.
+TEST(Controller, RepeatsOfWhatWasCarriedOutChangeNothing) {
+    Site s;
+    std::vector<std::string> transactions;
+    s.state.let_through = [&](const std::string& body) {
+        transactions.push_back(body);
+        return true;
+    };
+    s.start(0);
+    ASSERT_TRUE(s.until([&] { return s.leader() == 0; }));
+    s.run(1);
+    FakeWorker w;
+    s.settle(w);
+    for (const char* id : {"job-1", "job-2", "job-3"}) {
+        ASSERT_EQ(s.call(0, "POST", "/v2/runs", job_body(id)).status, 201);
+        s.hello(w, 0);
+        s.hello(w, 0);
+        ReportedTask* t = w.find(std::string(id) + "/0");
+        ASSERT_TRUE(t) << id;
+        if (std::string(id) == "job-1") {
+            t->phase = TaskPhase::kExited;
+            t->cause = ExitCause::kDone;
+        } else if (std::string(id) == "job-2") {
+            ASSERT_EQ(phase_of(s.call(0, "POST", "/v2/runs/job-2/withdraw")), "withdrawn");
+        }
+        s.hello(w, 0);
+        s.hello(w, 0);
+    }
+    auto kept = [&] {
+        std::map<std::string, std::string> rows;
+        for (const auto& [key, row] : s.state.rows) rows[key] = row.data;
+        return rows;
+    };
+    auto before = kept();
+    ASSERT_TRUE(before.count("f/job-1") && before.count("f/job-2") && before.count("j/job-3"));
+    auto repeated = transactions;
+    ASSERT_GT(repeated.size(), 8u);
+    uint64_t epoch = s.nodes[0]->election().epoch();
+    for (int round = 0; round < 2; ++round) {
+        for (const auto& body : repeated) s.state.apply(body);
+        EXPECT_EQ(phase_of(s.call(0, "POST", "/v2/runs", job_body("job-1"))), "done");
+        EXPECT_EQ(phase_of(s.call(0, "POST", "/v2/runs", job_body("job-2"))), "withdrawn");
+        EXPECT_EQ(phase_of(s.call(0, "POST", "/v2/runs/job-1/withdraw")), "done");
+        EXPECT_EQ(phase_of(s.call(0, "POST", "/v2/runs/job-2/withdraw")), "withdrawn");
+        EXPECT_EQ(phase_of(s.call(0, "POST", "/v2/runs", job_body("job-3"))), "running");
+        s.run(3);
+        s.hello(w, 0);
+        EXPECT_EQ(kept(), before);
+        EXPECT_EQ(w.tasks.size(), 1u) << "nothing was started again";
+        EXPECT_EQ(s.nodes[0]->election().epoch(), epoch);
+    }
+}
