Tell siblings which withdrawals were told, so that no lease need end for them

Change: a controller sends the ids of the jobs that it told users are withdrawn ahead of each answer to a beat; the leader halts just these. Beats keep their 68 bytes: what is new stands in the label's padding, and the new frame goes only to siblings that said they know it.

--- a/src/back/frames.cc
+++ b/src/back/frames.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <bit>
+#include <cstddef>
 #include <cstring>
 
 #include "base/constants.h"
@@ -24,7 +25,7 @@
     if (bad_ || buffer_.size() < sizeof(Head)) return std::nullopt;
     Head h;
     std::memcpy(&h, buffer_.data(), sizeof h);
-    bool known = h.kind >= 1 && h.kind <= 4;
+    bool known = h.kind >= 1 && h.kind <= static_cast<uint16_t>(Kind::kWithdrawn);
     if (h.magic != kMagic || h.version != kVersion || !known || h.length > constants::kFrameLimit) {
         bad_ = true;
         return std::nullopt;
@@ -42,13 +43,50 @@
     return b;
 }
 
+namespace {
+
+// What a label may take, with what stands behind it if it is that long.
+constexpr size_t kLabelRoom = offsetof(Beat, life);
+static_assert(kLabelRoom == 32);
+
+}  // namespace
+
 std::string label_of(const Beat& beat) {
-    return std::string(beat.label, strnlen(beat.label, sizeof beat.label));
+    const char* label = reinterpret_cast<const char*>(&beat);
+    return std::string(label, strnlen(label, extended(beat) ? sizeof beat.label : kLabelRoom));
 }
 
 void set_label(Beat& beat, std::string_view label) {
-    std::memset(beat.label, 0, sizeof beat.label);
-    std::memcpy(beat.label, label.data(), std::min(label.size(), sizeof beat.label - 1));
+    char* to = reinterpret_cast<char*>(&beat);
+    std::memset(to, 0, kLabelRoom);
+    std::memcpy(to, label.data(), std::min(label.size(), kLabelRoom - 1));
+}
+
+bool extended(const Beat& beat) {
+    return beat.label[sizeof beat.label - 1] == 0;
+}
+
+std::string pack(const Withdrawn& w) {
+    WithdrawnHead h{w.life, w.first, static_cast<uint16_t>(w.jobs.size())};
+    std::string s(reinterpret_cast<const char*>(&h), sizeof h);
+    for (const auto& id : w.jobs) s.append(1, static_cast<char>(id.size())).append(id);
+    return s;
+}
+
+std::optional<Withdrawn> unpack_withdrawn(std::string_view payload) {
+    WithdrawnHead h;
+    if (payload.size() < sizeof h) return std::nullopt;
+    std::memcpy(&h, payload.data(), sizeof h);
+    payload.remove_prefix(sizeof h);
+    Withdrawn w{h.life, h.first, {}};
+    for (uint16_t i = 0; i < h.count; ++i) {
+        if (payload.empty()) return std::nullopt;
+        auto n = static_cast<uint8_t>(payload[0]);
+        if (payload.size() < 1u + n) return std::nullopt;
+        w.jobs.emplace_back(payload.substr(1, n));
+        payload.remove_prefix(1u + n);
+    }
+    return payload.empty() ? std::optional(std::move(w)) : std::nullopt;
 }
 
 }  // namespace hareshore::back
--- a/src/back/frames.h
+++ b/src/back/frames.h
@@ -4,13 +4,24 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace hareshore::back {
 
 inline constexpr uint32_t kMagic = 0x52485248;  // "HRHR"
 inline constexpr uint16_t kVersion = 2;
 
-enum class Kind : uint16_t { kBeat = 1, kBeatAnswer = 2, kRelay = 3, kRelayAnswer = 4 };
+enum class Kind : uint16_t {
+    kBeat = 1,
+    kBeatAnswer = 2,
+    kRelay = 3,
+    kRelayAnswer = 4,
+    kWithdrawn = 5,  // only to a sibling whose beats say that it knows kForm: others close the connection
+};
+
+// What this version reads and writes, said in each beat. The versions before that said nothing have 0. What
+// is new with it: kWithdrawn, and records of form 2.
+inline constexpr uint8_t kForm = 2;
 
 #pragma pack(push, 1)
 struct Head {
@@ -24,7 +35,12 @@
 
 // Once a second each way; also the answer to one.
 struct Beat {
-    char label[32];         // the sender's, zero-padded
+    char label[24];  // the sender's, zero-padded
+    // These stand in what was the padding of a label of 32 bytes, which older versions read up to its first
+    // zero and write as zeros. A label too long for that leaves no room for them (`extended`).
+    uint8_t form;  // what the sender knows; 0: a version that does not say
+    uint8_t spare[3];
+    uint32_t told;          // withdrawals that the sender's process has told users of, so far
     uint64_t life;          // drawn by the sender's process when it began
     uint64_t asked_us;      // in an answer: the asker's clock from the beat that it answers
     uint64_t epoch;         // highest epoch the sender knows
@@ -38,9 +54,19 @@
 struct RelayAnswerHead {
     uint16_t status;
 };
+
+// Withdrawals that the sender's process has told users of, in the order in which it did; sent ahead of the
+// answer to a beat, so that an answer never counts one that did not come before it. Behind it for each the
+// length of the job's id, one byte, and the id.
+struct WithdrawnHead {
+    uint64_t life;   // of the sender's process
+    uint32_t first;  // how many it had told of before these
+    uint16_t count;
+};
 #pragma pack(pop)
 
-static_assert(sizeof(Head) == 24 && sizeof(Beat) == 68 && sizeof(RelayAnswerHead) == 2);
+static_assert(sizeof(Head) == 24 && sizeof(Beat) == 68 && sizeof(RelayAnswerHead) == 2 &&
+              sizeof(WithdrawnHead) == 14);
 
 struct Frame {
     Kind kind{};
@@ -67,5 +93,15 @@
 std::optional<Beat> unpack_beat(std::string_view payload);
 std::string label_of(const Beat& beat);
 void set_label(Beat& beat, std::string_view label);
+// Whether the label left room for what stands behind it.
+bool extended(const Beat& beat);
+
+struct Withdrawn {
+    uint64_t life = 0;
+    uint32_t first = 0;
+    std::vector<std::string> jobs;
+};
+std::string pack(const Withdrawn& withdrawn);
+std::optional<Withdrawn> unpack_withdrawn(std::string_view payload);
 
 }  // namespace hareshore::back
--- a/src/back/siblings.cc
+++ b/src/back/siblings.cc
@@ -23,6 +23,7 @@
     Link(Loop& loop, std::unique_ptr<Stream> s) : stream(std::move(s)), more(loop) {}
     std::unique_ptr<Stream> stream;
     std::string outbox;
+    uint32_t told = 0;  // of the withdrawals told here, how many this link was sent or need not be sent
     Signal more;
     bool open = true;
     void close() {
@@ -37,10 +38,12 @@
     std::optional<Response> answer;
 };
 
-Siblings::Siblings(Loop& loop, const Config& config, BeatSource beat, RelayHandler relay)
+Siblings::Siblings(Loop& loop, const Config& config, BeatSource beat, RelayHandler relay,
+                   WithdrawnHandler withdrawn)
     : loop_(loop),
       beat_(std::move(beat)),
       relay_(std::move(relay)),
+      withdrawn_(std::move(withdrawn)),
       links_(config.siblings.size()),
       life_(draw_life()),
       most_routines_(std::max(constants::kBackRoutines, config.sockets)),
@@ -76,11 +79,24 @@
             if (beat.life != p.life) p.last_beat = 0;
             p.answered = static_cast<double>(beat.asked_us) / 1e6;
             p.answer_at = now;
+            // Taken from the very answer: with the silence of a later beat, which nobody asked for, an
+            // earlier answer would seem to reach further back than its sender's word.
+            p.quiet_since = now - beat.quiet_ms / 1000.0 * (1 - constants::kDrift);
+            bool says = back::extended(beat) && beat.form >= back::kForm;
+            if (!says) {
+                p.whole_since = 1e18;
+            } else if (beat.life != p.told_life || beat.told != p.told || p.whole_since > now) {
+                // Its process is new to us, or something is missing: from here on nothing will be.
+                p.whole_since = now;
+                p.told = beat.told;
+                p.told_life = beat.life;
+            }
         } else {
             bool known = beat.life == p.life;
             if (known ? frame.id <= p.last_beat : now - p.answer_at < constants::kBeatFresh_s) return;
             p.last_beat = frame.id;
         }
+        if (back::extended(beat)) p.form = std::max(p.form, beat.form);
         p.life = beat.life;
         p.heard = now;
         p.beat = beat;
@@ -97,8 +113,7 @@
             scope_.spawn(write_all(link), "back writer");
             scope_.spawn(read_all(link, i), "back reader");
             while (link->open) {
-                back::Beat b = beat_();
-                b.life = life_;
+                back::Beat b = beat_now();
                 b.asked_us = static_cast<uint64_t>(loop_.now() * 1e6);
                 send(*link, back::pack(back::Kind::kBeat, next_beat_++, life_, b));
                 co_await loop_.sleep(constants::kBeat_s);
@@ -109,6 +124,48 @@
     }
 }
 
+back::Beat Siblings::beat_now() {
+    back::Beat b = beat_();
+    b.life = life_;
+    if (back::extended(b)) {
+        b.form = back::kForm;
+        b.told = told_count_;
+    }
+    return b;
+}
+
+void Siblings::tell_withdrawn(const std::string& id) {
+    // Who knows it from the first time need not hear it again.
+    if (!told_ids_.insert(id).second) return;
+    told_.push_back(id);
+    ++told_count_;
+    if (told_.size() > constants::kToldKept) {
+        told_ids_.erase(told_.front());
+        told_.pop_front();
+    }
+}
+
+void Siblings::send_withdrawn(Link& link) {
+    if (link.told == told_count_) return;
+    uint32_t kept_from = told_count_ - static_cast<uint32_t>(told_.size());
+    back::Withdrawn w{life_, std::max(link.told, kept_from), {}};
+    w.jobs.assign(told_.begin() + (w.first - kept_from), told_.end());
+    link.told = told_count_;
+    send(link, back::pack(back::Kind::kWithdrawn, 0, life_, back::pack(w)));
+}
+
+// A new connection begins with all that its sender keeps, so that nothing is missing when an older one broke.
+void Siblings::take_withdrawn(const back::Withdrawn& w) {
+    for (auto& p : peers_) {
+        if (p.told_life != w.life || p.whole_since > loop_.now()) continue;
+        if (w.first > p.told) return;  // the answer that follows shows that some are missing
+        for (size_t i = p.told - w.first; i < w.jobs.size(); ++i) {
+            ++p.told;
+            withdrawn_(w.jobs[i]);
+        }
+    }
+}
+
 Task<void> Siblings::accept_all() {
     while (true) {
         int fd = accept_from(listener_.fd());
@@ -157,11 +214,18 @@
                 }
                 heard(*f, *beat);
                 if (f->kind == back::Kind::kBeat) {
-                    back::Beat mine = beat_();
-                    mine.life = life_;
+                    if (back::extended(*beat) && beat->form >= back::kForm) send_withdrawn(*link);
+                    back::Beat mine = beat_now();
                     mine.asked_us = beat->asked_us;
                     send(*link, back::pack(back::Kind::kBeatAnswer, f->id, f->life, mine));
                 }
+            } else if (f->kind == back::Kind::kWithdrawn) {
+                auto withdrawn = back::unpack_withdrawn(f->payload);
+                if (!withdrawn) {
+                    link->close();
+                    break;
+                }
+                take_withdrawn(*withdrawn);
             } else if (f->kind == back::Kind::kRelay) {
                 if (scope_.size() <= most_routines_)
                     scope_.spawn(answer_relay(link, f->id, f->life, std::move(f->payload)), "relayed report");
--- a/src/base/constants.h
+++ b/src/base/constants.h
@@ -68,6 +68,9 @@
 inline constexpr double kBeatFresh_s = 3.5;   // a sibling heard of within this counts as present
 inline constexpr size_t kBackRoutines = 512;  // on the back channel, or one for each socket if those are
                                               // more: a zone's workers may all be relayed
+inline constexpr size_t kToldKept =
+    1024;  // withdrawals told to users that a new connection to a sibling begins
+           // with; more than are told within cancel_s, and they fit into a frame
 inline constexpr size_t kOutbox = 2 * 1024 * 1024;  // bytes waiting on a link: reports of a zone in a second
 inline constexpr size_t kCutWitnesses = 2;          // workers that come back before their zone counts as cut
 inline constexpr size_t kFrameLimit = 128 * 1024;   // bytes of a frame between controllers
--- a/src/lead/leader.cc
+++ b/src/lead/leader.cc
@@ -115,6 +115,8 @@
     auto it = finished_.find(record->spec.id);
     if (it != finished_.end() && c.stamp <= it->second) return;  // an echo from before its end
     Job& job = jobs_.load(*record, c.stamp, loop_.now(), loop_.wall());
+    // Read before it was withdrawn, and told of since.
+    if (!job.withdrawn && told_.count(job.spec.id)) jobs_.withdraw(job, loop_.now());
     for (const auto& [task, p] : job.live) {
         Host& h = cluster_.ensure(p.host, loop_.now());
         if (h.zone.empty()) h.zone = p.zone;
@@ -131,6 +133,7 @@
             for (const auto& c : r.changes) take_change(c);
             tide_ = std::max(tide_, r.tide);
             fresh_ = std::max(fresh_, sent);
+            std::erase_if(told_, [&](const auto& t) { return t.second < fresh_; });
             if (!r.changes.empty()) ask_round();
             continue;
         }
@@ -244,10 +247,24 @@
 // The right to renew: what this answer keeps alive ends at the latest lease_s after the report was sent,
 // and no task may outlive cancel_s after its user was told of the withdrawal. So an answer is allowed
 // while no withdrawal older than the difference can be missing here.
-bool Leader::may_renew() const {
+bool Leader::may_renew() {
     Seconds span = (config_.cancel_s - config_.lease_s) * (1 - constants::kDrift) - constants::kRenewMargin_s;
     Seconds now = loop_.now();
-    return now < fresh_ + span || now < vouch_(fresh_) + span;
+    // What was known once stays known, also when a sibling begins anew and can no longer speak for it.
+    known_ = std::max(known_, fresh_);
+    known_ = std::max(known_, vouch_(known_));
+    return now < known_ + span;
+}
+
+// Known here before the state service can say so, the withdrawal is none that the renewal right must wait
+// for: letting all leases run out because of a single job cost the work of the whole fleet.
+void Leader::told_withdrawn(const std::string& id) {
+    told_[id] = loop_.now();
+    Job* job = jobs_.find(id);
+    if (!job || job->withdrawn) return;
+    log::info("job {}: withdrawn, as told to its user", id);
+    jobs_.withdraw(*job, loop_.now());
+    ask_round();
 }
 
 Task<Response> Leader::hello(Report r, Seconds hold, bool direct) {
--- a/src/lead/leader.h
+++ b/src/lead/leader.h
@@ -19,7 +19,7 @@
         std::string key;     // the leadership key
     };
     // Until when the siblings vouch that no withdrawal was told that this node could be missing, given
-    // that it misses none told before `since`.
+    // that it misses none told before `since`. Which were told it hears by told_withdrawn().
     using Vouch = std::function<Seconds(Seconds since)>;
     // Whether this leadership is certain now.
     using Confirmed = std::function<bool()>;
@@ -37,6 +37,10 @@
     // `direct`: it came on the worker's own connection, not through a sibling.
     Task<Response> hello(Report report, Seconds hold, bool direct);
 
+    // A user is being told that this job is withdrawn, by this node or by a sibling: its tasks must go, also
+    // while the state service cannot say so.
+    void told_withdrawn(const std::string& id);
+
     // How many machines have reported to this leader, and for how long it has known its view.
     size_t machines_reported() const;
     uint64_t rounds_done() const { return rounds_; }  // of matching, so far
@@ -78,7 +82,7 @@
     void drain(Host& host);
     void wake(const std::string& host);
     Line& line(const std::string& host);
-    bool may_renew() const;
+    bool may_renew();
     void finished(const std::string& id, uint64_t tide);
     void take_change(const Change& c);
     void log_waiting();
@@ -110,8 +114,10 @@
     bool flavors_kept_ = false;
 
     bool loaded_ = false, stopped_ = false;
-    uint64_t tide_ = 0;     // the watch has seen all changes up to this revision
-    Seconds fresh_ = -1e9;  // no withdrawal before this is missing
+    uint64_t tide_ = 0;                    // the watch has seen all changes up to this revision
+    Seconds fresh_ = -1e9;                 // no withdrawal committed before this is missing
+    Seconds known_ = -1e9;                 // no withdrawal told to a user before this is missing
+    std::map<std::string, Seconds> told_;  // jobs known to be withdrawn by telling, and since when
     Seconds loaded_at_ = 0;
     Seconds listening_since_ = 0;  // before this, that a machine was silent says nothing
     uint64_t claims_ = 0;
--- a/src/node.cc
+++ b/src/node.cc
@@ -43,10 +43,15 @@
       state_(loop, config.state, answer_limit(config)),
       cloud_(loop, config.cloud, config.cloud_rps, config.siblings.size() + 1),
       election_(loop, state_, config.label, place_of(config)),
-      users_(loop, config, state_, flavors_),
+      users_(loop, config, state_, flavors_,
+             [this](const std::string& id) {
+                 siblings_.tell_withdrawn(id);
+                 told_withdrawn(id);
+             }),
       siblings_(
           loop, config, [this] { return beat(); },
-          [this](std::string body) { return relayed(std::move(body)); }),
+          [this](std::string body) { return relayed(std::move(body)); },
+          [this](const std::string& id) { told_withdrawn(id); }),
       server_(loop, config.listen, connection_limit(config),
               [this](Request r) { return handle(std::move(r)); }),
       scope_(loop) {
@@ -83,19 +88,29 @@
     return b;
 }
 
-// Every sibling says how long it has told nobody of a withdrawal. Where that reaches back to `since`,
-// nothing was told between `since` and the time at which the sibling was asked.
+// What this node tells users itself its leader knows at once. Every sibling says which withdrawals it has
+// told users of, or, in a version that does not say that, for how long it has told nobody of any. Where that
+// reaches back to `since`, we miss none told between `since` and the time at which the sibling was asked.
 Seconds Controller::vouched(Seconds since) const {
     Seconds until = loop_.now();
-    if (users_.last_withdrawal() > since) return since;
     for (const auto& p : siblings_.peers()) {
-        Seconds quiet = p.beat.quiet_ms / 1000.0 * (1 - constants::kDrift);
-        if (p.answer_at - quiet > since) return since;
+        if (!p.speaks_from(since)) return since;
         until = std::min(until, p.answered);
     }
     return std::max(since, until);
 }
 
+// A user is being told, here or by a sibling, that the job is withdrawn. Without a leader there is nothing to
+// do: one that begins later reads the records after this, and finds it there.
+void Controller::told_withdrawn(const std::string& id) {
+    if (leader_) leader_->told_withdrawn(id);
+}
+
+bool Controller::all_upgraded() const {
+    return std::all_of(siblings_.peers().begin(), siblings_.peers().end(),
+                       [](const auto& p) { return p.form >= back::kForm; });
+}
+
 bool Controller::ready() const {
     Seconds age = loop_.now() - std::max(state_.last_contact(), started_);
     if (state_.last_contact() < 0) {
--- a/src/node.h
+++ b/src/node.h
@@ -29,6 +29,9 @@
     void resign_if_cut_off();
     back::Beat beat() const;
     Seconds vouched(Seconds since) const;
+    void told_withdrawn(const std::string& id);
+    // Whether every sibling has said that it knows the forms of this version.
+    bool all_upgraded() const;
 
     Loop& loop_;
     const Config& config_;
--- a/src/users/service.cc
+++ b/src/users/service.cc
@@ -18,11 +18,12 @@
 }  // namespace
 
 UserService::UserService(Loop& loop, const Config& config, StateService& state,
-                         const std::vector<Flavor>& flavors)
+                         const std::vector<Flavor>& flavors, Telling telling)
     : loop_(loop),
       config_(config),
       state_(state),
       flavors_(flavors),
+      telling_(std::move(telling)),
       most_busy_(std::max(constants::kUserCalls,
                           static_cast<size_t>(config.state_rps * constants::kUserRead_s /
                                               static_cast<double>(config.siblings.size() + 1)))),
@@ -114,7 +115,10 @@
 }
 
 Response UserService::told(const std::string& id, const Known& k, bool counts) {
-    if (k.phase == JobPhase::kWithdrawn) last_withdrawal_ = loop_.now();
+    if (k.phase == JobPhase::kWithdrawn) {
+        last_withdrawal_ = loop_.now();
+        telling_(id);
+    }
     return {200, counts ? pack_job(id, k.phase, k.done, k.running) : pack_phase(id, k.phase), 0,
             "application/msgpack"};
 }
--- a/src/users/service.h
+++ b/src/users/service.h
@@ -1,6 +1,7 @@
 // The users' requests. Any node serves them; what it answers is committed or read from the state service.
 #pragma once
 #include <deque>
+#include <functional>
 #include <unordered_map>
 
 #include "jobs/record.h"
@@ -11,7 +12,10 @@
 
 class UserService {
   public:
-    UserService(Loop& loop, const Config& config, StateService& state, const std::vector<Flavor>& flavors);
+    // Called before a user is told that the job is withdrawn.
+    using Telling = std::function<void(const std::string&)>;
+    UserService(Loop& loop, const Config& config, StateService& state, const std::vector<Flavor>& flavors,
+                Telling telling);
     // The path begins with /v2/runs.
     Task<Response> handle(const Request& request);
     // When a user was last told of a withdrawal here, or when this process began.
@@ -38,6 +42,7 @@
     const Config& config_;
     StateService& state_;
     const std::vector<Flavor>& flavors_;
+    Telling telling_;
     size_t busy_ = 0;
     size_t most_busy_;
     Seconds last_withdrawal_;
--- a/tests/standins.cc
+++ b/tests/standins.cc
@@ -89,9 +89,10 @@
     return packed(200, p);
 }
 
-Task<Response> FakeState::handle(Request r) {
+Task<Response> FakeState::handle(Request r, int node) {
     if (silent) co_await loop_.sleep(1e6);
-    if (down && r.path != "/changes") co_return Response{503, "", 0, ""};
+    auto away = [&] { return down || refused.count(node) > 0; };
+    if (away() && r.path != "/changes") co_return Response{503, "", 0, ""};
     expire();
     Packer p;
     if (r.path == "/txn") {
@@ -128,7 +129,7 @@
             std::vector<const Event*> found;
             for (const auto& e : events_)
                 if (e.stamp > from && e.key.rfind(prefix, 0) == 0) found.push_back(&e);
-            if (!down && (!found.empty() || loop_.now() >= end)) {
+            if (!away() && (!found.empty() || loop_.now() >= end)) {
                 p.map(2).key("tide").count(tide).key("news").list(found.size());
                 for (auto* e : found) {
                     p.map(e->drop ? 2 : 3)
@@ -314,7 +315,8 @@
         c.listen = address(10 + i, 8080);
         c.back = address(10 + i, 8081);
         c.cloud = address(1, 8443);
-        c.state = address(1, 2379);
+        c.state = address(10 + i, 2379);
+        state.open(i, c.state);
         c.zones = {"a", "b"};
         Team t;
         t.name = "team";
--- a/tests/standins.h
+++ b/tests/standins.h
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <map>
+#include <set>
 
 #include "http/client.h"
 #include "http/server.h"
@@ -36,10 +37,7 @@
 
 class FakeState {
   public:
-    FakeState(Loop& loop, Address at)
-        : loop_(loop),
-          news_(loop),
-          server_(loop, at, 100, [this](Request r) { return handle(std::move(r)); }) {}
+    explicit FakeState(Loop& loop) : loop_(loop), news_(loop) {}
 
     struct Row {
         std::string data;
@@ -48,7 +46,13 @@
     std::map<std::string, Row> rows;
     uint64_t tide = 1;
     bool down = false;
-    bool silent = false;  // requests get no answer, as behind a cut
+    bool silent = false;    // requests get no answer, as behind a cut
+    std::set<int> refused;  // controllers that alone get 503; their watches wait
+    // A controller's own way to the service, so that it alone can be refused.
+    void open(int node, Address at) {
+        doors_.push_back(std::make_unique<HttpServer>(
+            loop_, at, 100, [this, node](Request r) { return handle(std::move(r), node); }));
+    }
     uint64_t oldest = 0;  // watches from before this revision get 410
     size_t page = 1000;   // most items of a list
     // Called with each transaction's body before it is carried out; false: the answer is lost, and the
@@ -56,7 +60,9 @@
     std::function<bool(const std::string&)> let_through;
     std::vector<std::string> late;
     int puts = 0;
-    void stop() { server_.stop(); }
+    void stop() {
+        for (auto& d : doors_) d->stop();
+    }
 
     Response apply(const std::string& body);
     void end_lease(uint64_t id);
@@ -69,7 +75,7 @@
         std::string data;
         uint64_t stamp;
     };
-    Task<Response> handle(Request r);
+    Task<Response> handle(Request r, int node);
     static std::string query(const Request& r, const std::string& name);
     void expire();
 
@@ -78,7 +84,7 @@
     std::map<uint64_t, std::pair<Seconds, Seconds>> leases_;  // ttl, end
     uint64_t next_lease_ = 1;
     std::vector<Event> events_;
-    HttpServer server_;
+    std::vector<std::unique_ptr<HttpServer>> doors_;
 };
 
 class FakeCloud {
@@ -137,7 +143,7 @@
 
     FakeClock clock;
     Loop loop{clock};
-    FakeState state{loop, address(1, 2379)};
+    FakeState state{loop};
     FakeCloud cloud{loop, address(1, 8443)};
     std::vector<Config> configs;
     Settings settings;
