Give services their own lifecycle: replicas run until the job is withdrawn

Cause: a job of shape "standing" was handled as an array. An exit `done` ended its task, a failed replica waited 10 s and more, its estimate of 0 counted as short work that is soon over, and its replicas were put together on whichever machine asked first.

Changed: no exit ends a replica's task; one that ends at once is started less and less often, and after three machines that is taken for the job's fault. Services are never late, free no room by themselves, are lent none, and are stopped for no other work; those of production rank go first and stop lower work, also gangs and work within a guarantee. Replicas spread over machines and kinds, wait for an image's holder only if that is sooner than the fetch, leave a machine with a spot notice at once and others one at a time. Records keep their form.

--- a/src/base/constants.h
+++ b/src/base/constants.h
@@ -139,6 +139,14 @@
 inline constexpr double kJobBackoff_s = 10.0;      // first pause of a blamed job, doubled up to
 inline constexpr double kJobBackoffMax_s = 160.0;  //   this
 
+// --- services ---------------------------------------------------------------------------------------
+inline constexpr double kReplicaSteady_s = 20.0;  // a replica that ran this long did not end at once
+inline constexpr size_t kReplicaTries = 2;        // ends at once that are followed by a start without pause
+inline constexpr double kReplicaBackoff_s = 1.0;  // then the first pause, doubled up to
+inline constexpr double kReplicaBackoffMax_s = 60.0;  //   this: each start costs writes
+inline constexpr double kSpreadWait_s = 1.0;  // a replica waits this long for a machine that would be lost
+                                              // without taking others of its job
+
 // --- operator page ----------------------------------------------------------------------------------
 inline constexpr double kWhyLog_s = 15.0;  // a waiting job's reason is logged at most this often
 
--- a/src/fleet/plan.cc
+++ b/src/fleet/plan.cc
@@ -143,7 +143,8 @@
             s.free = h->free;
             for (const auto& [j, task, placement] : jobs_.on_host(name)) {
                 const Placement& p = *placement;
-                if (p.running_since >= 0 && p.running_since + j->spec.estimate_s < in_.now + f->boot_s &&
+                if (!j->spec.service() && p.running_since >= 0 &&
+                    p.running_since + j->spec.estimate_s < in_.now + f->boot_s &&
                     in_.now - p.running_since < 2 * j->spec.estimate_s)
                     s.soon += Amount::of(j->spec);
             }
@@ -228,18 +229,25 @@
         if (!cluster_.within_limit(in_.config, s, n)) return;
         if (s.gang() && !job.live.empty()) return;
         if (!s.one_zone || (s.tasks == 1)) {
+            // What must be apart counts on no more of a zone than it may use.
+            ZoneRule rule(job);
+            auto put_apart = [&](Slot& x) {
+                uint32_t k = put(x, s, std::min(n, rule.room(x.kind.zone)));
+                for (uint32_t i = 0; i < k; ++i) rule.add(x.kind.zone);
+                n -= k;
+            };
             for (size_t i : open_)
                 if (Slot& x = slots_[i]; n > 0 && s.allows(x.kind.flavor, x.kind.zone, x.kind.spot))
-                    n -= put(x, s, n);
+                    put_apart(x);
             // Tasks that need not start together can as well wait for room that comes free before a new
             // machine is up; not those with a deadline, since estimates are often wrong.
-            if (!s.gang() && !s.due_s)
+            if (!s.gang() && !s.service() && !s.due_s)
                 for (size_t i : open_)
                     if (Slot& x = slots_[i];
                         n > 0 && x.host && s.allows(x.kind.flavor, x.kind.zone, x.kind.spot))
                         n -= put(x, s, n, &Slot::soon);
             for (const Kind& kind : kinds(s)) {
-                while (n > 0 && add(kind, true)) n -= put(slots_.back(), s, n);
+                while (n > 0 && rule.room(kind.zone) > 0 && add(kind, true)) put_apart(slots_.back());
             }
             return;
         }
--- a/src/jobs/spec.h
+++ b/src/jobs/spec.h
@@ -9,7 +9,7 @@
 
 namespace hareshore {
 
-// A service is an array whose tasks run until the job is withdrawn (docs/questions.md, 1).
+// A service's tasks (replicas) run until the job is withdrawn: none of them is ever done.
 enum class Shape : uint8_t { kArray, kGang, kService };
 enum class Rank : uint8_t { kIdle, kStandard, kHigh, kProduction };
 
@@ -28,6 +28,7 @@
     std::optional<Seconds> due_s;
 
     bool gang() const { return shape == Shape::kGang; }
+    bool service() const { return shape == Shape::kService; }
     bool allows(const std::string& flavor, const std::string& in_zone, bool is_spot) const {
         if (is_spot && !spot) return false;
         if (!zone.empty() && zone != in_zone) return false;
--- a/src/jobs/table.cc
+++ b/src/jobs/table.cc
@@ -21,6 +21,8 @@
             return "no room for all tasks of the gang at once";
         case Wait::kHeldForImage:
             return "held briefly for an idle machine that has its image";
+        case Wait::kHeldForSpread:
+            return "held briefly for a machine that runs less of it";
         case Wait::kBackoff:
             return "its tasks failed on several machines; it is tried again later";
         case Wait::kOldAttempt:
@@ -35,6 +37,12 @@
     return spec.checkpoint_s > 0 && spec.checkpoint_s <= constants::kHasteShare * spec.save_s;
 }
 
+uint32_t Job::up() const {
+    return static_cast<uint32_t>(std::count_if(live.begin(), live.end(), [](const auto& l) {
+        return l.second.phase == TaskPhase::kRunning && !l.second.stopping;
+    }));
+}
+
 Seconds Job::due(const Config& config) const {
     if (spec.due_s) return accepted + *spec.due_s;
     auto it = config.finish_within.find(spec.job_class);
@@ -42,10 +50,13 @@
 }
 
 bool Job::late(const Config& config, Seconds now) const {
+    if (spec.service()) return false;  // it has no end
     return now + constants::kLateShare * spec.estimate_s > due(config);
 }
 
 int Job::aims_lost(const Config& config, Seconds now) const {
+    // What counts of a service is the time it is not served: a late start is one more reason to hurry.
+    if (spec.service()) return 0;
     int lost = late(config, now) ? 1 : 0;
     auto waits = config.wait_within.find(spec.job_class);
     // Of tasks that were all begun once, only the end is still open.
@@ -97,7 +108,7 @@
     j.accepted = now - std::max(0.0, wall - r.accepted_wall);
     // A job that never started has waited since it came, also before this leader.
     j.waiting_since = r.live.empty() && r.done.empty() && r.next_attempt <= 1 ? j.accepted : now;
-    j.done = r.done;
+    if (!j.spec.service()) j.done = r.done;  // earlier versions took a replica's exit for its end
     j.next_attempt = r.next_attempt;
     j.whole_story = r.next_attempt <= 1;
     j.stamp = stamp;
@@ -263,6 +274,8 @@
 
 void JobTable::stop(Job& job, uint32_t task, Seconds, bool haste) {
     Seconds grace = job.spec.save_s + constants::kSaveSpare_s;
+    // A replica has nothing to save: its successor is waited for.
+    if (job.spec.service()) grace = 0;
     // On average half a checkpoint interval is lost, against a save during which the room is not free.
     if (haste && job.hasty()) grace = 0;
     if (job.spec.gang()) {
@@ -301,7 +314,10 @@
         job.backoff_s = std::clamp(job.backoff_s * 2, constants::kJobBackoff_s, constants::kJobBackoffMax_s);
         job.not_before = now + job.backoff_s;
     }
-    if (job.blamed) return;
+    if (!job.blamed) blame_host(host, job);
+}
+
+void JobTable::blame_host(Host& host, const Job& job) {
     host.failed_jobs.insert(job.spec.id);
     if (host.failed_jobs.size() >= static_cast<size_t>(constants::kHostErrors) && !host.condemned) {
         host.condemned = true;
@@ -310,10 +326,44 @@
     }
 }
 
+// A replica's end is never the end of its task, whatever its cause: it is started again, at once if it ran
+// for a while. One that keeps ending at once is started less and less often. That is held against the
+// machine, which the next start avoids, only as long as it has not happened on several.
+void JobTable::replica_ended(Cluster& cluster, Host& host, Job& job, uint32_t task, ExitCause cause,
+                             Seconds now) {
+    if (cause == ExitCause::kStopped || job.withdrawn) return;
+    const Placement& p = job.live.at(task);
+    Seconds ran = p.running_since < 0 ? 0 : now - p.running_since;
+    log::info("service {}: replica {} ended on {} after {:.0f} s, cause {}", job.spec.id, task, host.name,
+              ran, static_cast<int>(cause));
+    if (ran >= constants::kReplicaSteady_s) return;
+    job.ended_soon_at = now;
+    job.failed_on.insert(host.name);
+    if (!job.blamed && job.failed_on.size() >= static_cast<size_t>(constants::kJobHosts)) {
+        job.blamed = true;
+        log::info("service {}: its replicas end at once on {} machines, taken for a faulty job", job.spec.id,
+                  job.failed_on.size());
+        for (auto& [name, h] : cluster.hosts) h->failed_jobs.erase(job.spec.id);
+    }
+    if (++job.ended_soon > constants::kReplicaTries) {
+        // Replicas that end together count as one: a pause runs already.
+        if (now >= job.not_before)
+            job.backoff_s =
+                std::clamp(job.backoff_s * 2, constants::kReplicaBackoff_s, constants::kReplicaBackoffMax_s);
+        job.not_before = now + job.backoff_s;
+    }
+    if (!job.blamed && cause == ExitCause::kError) blame_host(host, job);
+}
+
 void JobTable::exited(Cluster& cluster, Host& host, Job& job, uint32_t task, const ReportedTask& t,
                       Seconds now) {
     log::debug("task {} attempt {} on {} exited, cause {}", t.name.text(), t.attempt, host.name,
                static_cast<int>(t.cause));
+    if (job.spec.service()) {
+        replica_ended(cluster, host, job, task, t.cause, now);
+        release(job, task, now);
+        return;
+    }
     switch (t.cause) {
         case ExitCause::kDone:
             host.failed_jobs.clear();
@@ -369,7 +419,19 @@
         log::info("machine {}: condemned: {}", name, h->why_condemned);
         auto tasks = on_host(name);
         for (const auto& r : tasks)
-            if (r.job->spec.checkpoint_s > 0) stop(*r.job, r.task, now);
+            if (r.job->spec.checkpoint_s > 0 && !r.job->spec.service()) stop(*r.job, r.task, now);
+    }
+}
+
+void JobTable::move_replicas(Cluster& cluster, Seconds now) {
+    for (auto& [name, h] : cluster.hosts) {
+        if (!h->condemned && !h->emptying) continue;
+        auto tasks = on_host(name);
+        for (const auto& [job, task, p] : tasks) {
+            if (!job->spec.service() || job->withdrawn || p->stopping) continue;
+            uint32_t self = p->phase == TaskPhase::kRunning ? 1 : 0;
+            if (job->up() - self + 1 == job->spec.tasks) stop(*job, task, now);
+        }
     }
 }
 
@@ -422,6 +484,14 @@
                                static_cast<int>(t.phase));
                 if (t.phase == TaskPhase::kRunning) {
                     if (p.running_since < 0) p.running_since = now;
+                    if (job->spec.service() && p.bound_at >= job->ended_soon_at &&
+                        now - p.running_since >= constants::kReplicaSteady_s) {
+                        // What was started since then stays: what ended at once does so no longer.
+                        job->failed_on.clear();
+                        job->blamed = false;
+                        job->ended_soon = 0;
+                        job->backoff_s = 0;
+                    }
                     job->started = true;
                 }
                 if (!p.seen && p.sent > 0) host.unheard_since = -1;  // it was launched: an answer arrived
@@ -431,7 +501,7 @@
                     exited(cluster, host, *job, t.name.task, t, now);
                     x.exit_version = job->version;
                 }
-            } else if (t.phase == TaskPhase::kExited && t.cause == ExitCause::kDone &&
+            } else if (t.phase == TaskPhase::kExited && t.cause == ExitCause::kDone && !job->spec.service() &&
                        !job->done.has(t.name.task) && t.name.task < job->spec.tasks &&
                        it == job->live.end()) {
                 // A result of an attempt that was given up: the work is done all the same.
--- a/src/jobs/table.h
+++ b/src/jobs/table.h
@@ -33,6 +33,7 @@
     kNoRoom,
     kGangRoom,
     kHeldForImage,
+    kHeldForSpread,
     kBackoff,
     kOldAttempt,
     kRecordFull,
@@ -67,6 +68,9 @@
     std::set<std::string> failed_on;  // machines, since the last success
     Seconds not_before = 0, backoff_s = 0;
     bool blamed = false;
+    // Services: replicas that ended at once since one last ran steadily, and when the last of them did.
+    size_t ended_soon = 0;
+    Seconds ended_soon_at = -1e9;
     Seconds waiting_since = 0;
     bool stray = false;  // a machine runs a task of it that no placement accounts for
     // Room is being made on machines that have the image: until then it is not started elsewhere.
@@ -75,7 +79,7 @@
     Wait why = Wait::kNew;
     Seconds why_logged = -1e9;
 
-    bool over() const { return done.size() == spec.tasks; }
+    bool over() const { return !spec.service() && done.size() == spec.tasks; }
     bool dirty() const { return version != committed; }
     bool waiting() const { return !withdrawn && !over() && !pending.empty(); }
     // Stopping it at once loses no more than letting it save: it checkpoints often.
@@ -86,6 +90,8 @@
     bool late(const Config& config, Seconds now) const;
     // How many of its class's aims a task of it that starts now can no longer meet.
     int aims_lost(const Config& config, Seconds now) const;
+    // Replicas that run.
+    uint32_t up() const;
     bool room_in_record(size_t value_bytes, uint32_t more) const;
     JobRecord record() const;
 };
@@ -118,6 +124,9 @@
     // Starts to stop a task, or the whole gang it belongs to.
     // With `haste` a task that checkpoints often does not save first: that would take as long as it loses.
     void stop(Job& job, uint32_t task, Seconds now, bool haste = false);
+    // Stops replicas on machines that are to be emptied, of each service one at a time: the next when all of
+    // its replicas run again.
+    void move_replicas(Cluster& cluster, Seconds now);
     // Frees the placements on a machine that is confirmed to be gone.
     void host_gone(const std::string& host, Seconds now);
     // Marks the job changed; it will be written.
@@ -149,6 +158,8 @@
     void complete(Job& job, uint32_t task, Seconds now);
     void exited(Cluster& cluster, Host& host, Job& job, uint32_t task, const ReportedTask& t, Seconds now);
     void failed(Cluster& cluster, Host& host, Job& job, Seconds now);
+    void replica_ended(Cluster& cluster, Host& host, Job& job, uint32_t task, ExitCause cause, Seconds now);
+    static void blame_host(Host& host, const Job& job);
     void stop_gang(Job& job, Seconds grace);
 
     Map jobs_;
--- a/src/lead/leader.cc
+++ b/src/lead/leader.cc
@@ -339,11 +339,13 @@
     co_return ok;
 }
 
-// A machine is about to be taken: what can save does so now.
+// A machine is about to be taken: what can save does so now, and replicas move at once. From a machine that
+// is only to be returned they move one by one (JobTable::move_replicas).
 void Leader::drain(Host& h) {
     auto tasks = jobs_.on_host(h.name);
     for (const auto& r : tasks)
-        if (r.job->spec.checkpoint_s > 0) jobs_.stop(*r.job, r.task, loop_.now());
+        if (r.job->spec.service() ? h.leaves_at >= 0 : r.job->spec.checkpoint_s > 0)
+            jobs_.stop(*r.job, r.task, loop_.now());
 }
 
 // Matching looks at all machines and the queue's head. Done for each report by itself it would cost the
@@ -491,6 +493,7 @@
         // The machine list lags; what an earlier leader rented shows up only after that.
         if (term_.epoch > 1 && loop_.now() - loaded_at_ < constants::kLeaderSettle_s) continue;
         jobs_.find_crawlers(cluster_, loop_.now());
+        jobs_.move_replicas(cluster_, loop_.now());
         FleetInput in{config_,        settings_, loop_.now(), std::max(loaded_at_, listening_since_),
                       refused_until_, on_order_, true,        kind_seen_spot_only(),
                       cut_at_};
@@ -627,8 +630,12 @@
         if (!j->waiting() || loop_.now() - j->waiting_since < constants::kWhyLog_s) continue;
         if (loop_.now() - j->why_logged < constants::kWhyLog_s) continue;
         j->why_logged = loop_.now();
-        log::info("job {}: {} of {} tasks wait, the first for {:.0f} s: {}", id, j->pending.size(),
-                  j->spec.tasks, loop_.now() - j->waiting_since, wait_text(j->why));
+        if (j->spec.service())
+            log::info("service {}: {} of {} replicas up, {} wait, the first for {:.0f} s: {}", id, j->up(),
+                      j->spec.tasks, j->pending.size(), loop_.now() - j->waiting_since, wait_text(j->why));
+        else
+            log::info("job {}: {} of {} tasks wait, the first for {:.0f} s: {}", id, j->pending.size(),
+                      j->spec.tasks, loop_.now() - j->waiting_since, wait_text(j->why));
     }
 }
 
@@ -688,11 +695,13 @@
 std::string Leader::jobs_page() const {
     std::string s;
     for (const auto& [id, j] : jobs_.all()) {
-        s += fmt::format("{} {} team {} {} of {} tasks done, {} on machines, {} waiting", id,
-                         j->spec.gang()                     ? "gang"
-                         : j->spec.shape == Shape::kService ? "service"
-                                                            : "array",
-                         j->spec.team, j->done.size(), j->spec.tasks, j->live.size(), j->pending.size());
+        if (j->spec.service())
+            s += fmt::format("{} service team {} {} of {} replicas up, {} on machines, {} waiting", id,
+                             j->spec.team, j->up(), j->spec.tasks, j->live.size(), j->pending.size());
+        else
+            s += fmt::format("{} {} team {} {} of {} tasks done, {} on machines, {} waiting", id,
+                             j->spec.gang() ? "gang" : "array", j->spec.team, j->done.size(), j->spec.tasks,
+                             j->live.size(), j->pending.size());
         if (j->withdrawn) s += ", withdrawn";
         if (j->waiting())
             s += fmt::format(" for {:.0f} s: {}", loop_.now() - j->waiting_since, wait_text(j->why));
--- a/src/match/match.cc
+++ b/src/match/match.cc
@@ -60,6 +60,7 @@
         Queued e;
         e.job = job.get();
         e.entitled = entitled.count(job.get()) > 0;
+        e.first = job->spec.service() && job->spec.rank == Rank::kProduction;
         e.starved = in.now - job->accepted > in.settings.begin_bound_s && job->live.empty() &&
                     job->done.empty() && !job->blamed;
         e.aged = in.now - job->waiting_since > in.settings.age_bound_s;
@@ -68,9 +69,9 @@
     }
     std::sort(q.begin(), q.end(), [](const Queued& a, const Queued& b) {
         auto key = [](const Queued& q) {
-            if (q.starved) return std::tuple(false, false, 0, 0, false, q.job->accepted);
-            return std::tuple(true, !q.entitled, -static_cast<int>(q.job->spec.rank), q.lost, !q.aged,
-                              q.job->accepted);
+            if (q.starved) return std::tuple(false, false, false, 0, 0, false, q.job->accepted);
+            return std::tuple(true, !q.first, !q.entitled, -static_cast<int>(q.job->spec.rank), q.lost,
+                              !q.aged, q.job->accepted);
         };
         auto x = key(a), y = key(b);
         return x != y ? x < y : a.job->spec.id < b.job->spec.id;
@@ -123,7 +124,7 @@
 
     static bool same_class(const Queued& a, const Queued& b) {
         if (a.starved || b.starved) return a.starved == b.starved;
-        return a.entitled == b.entitled && a.job->spec.rank == b.job->spec.rank;
+        return a.first == b.first && a.entitled == b.entitled && a.job->spec.rank == b.job->spec.rank;
     }
 
     bool within_limit(const JobSpec& s, uint32_t n) const {
@@ -176,7 +177,8 @@
         Seconds fetch = f && f->fetch_gb_per_s > 0 && !h.cache.has(job.spec.image)
                             ? job.spec.image_gb / f->fetch_gb_per_s
                             : 0;
-        if (in_.now + fetch + job.spec.estimate_s > h.kept_until) a -= h.kept;
+        // A service does not end.
+        if (job.spec.service() || in_.now + fetch + job.spec.estimate_s > h.kept_until) a -= h.kept;
         return a;
     }
 
@@ -265,11 +267,15 @@
                 continue;
             }
             bool cached = h.cache.has(job.spec.image);
-            if (!cached && (in_.now < job.claimed_until ||
-                            (in_.now - job.waiting_since < in_.settings.hold_s && idle_holder(job, h)))) {
+            if (!cached && (in_.now < job.claimed_until || worth_holding(job, h))) {
                 job.why = Wait::kHeldForImage;
                 continue;
             }
+            if (job.spec.service() && in_.now - job.waiting_since < constants::kSpreadWait_s &&
+                spreads_better(job, h)) {
+                job.why = Wait::kHeldForSpread;
+                continue;
+            }
             double gb = cached ? job.spec.image_gb : 0;
             if (!first) first = &q;
             if (gb > best_gb) {
@@ -280,7 +286,44 @@
         return best;
     }
 
-    bool idle_holder(const Job& job, const Host& asker) {
+    // Whether a task that the asker would have to fetch the image for should wait for a holder of it. A
+    // replica's time counts from the first second: it waits only while a holder is likely to ask before the
+    // image would be here, and no longer than that takes.
+    bool worth_holding(const Job& job, const Host& asker) {
+        Seconds waited = in_.now - job.waiting_since;
+        if (waited >= in_.settings.hold_s) return false;
+        if (!job.spec.service()) return holders(job, asker, 1) > 0;
+        const Flavor* f = cluster_.flavor(asker.flavor);
+        Seconds fetch = f && f->fetch_gb_per_s > 0 ? job.spec.image_gb / f->fetch_gb_per_s : 0;
+        if (waited >= fetch) return false;
+        return static_cast<double>(holders(job, asker, UINT32_MAX)) * fetch > in_.config.report_s;
+    }
+
+    // How much would be lost with the machine of what the job has elsewhere already: its replicas there, and
+    // one that is too many on spot machines, which are taken back in waves.
+    static std::pair<bool, size_t> crowding(const Job& job, const Host& h, size_t spot) {
+        auto here = std::count_if(job.live.begin(), job.live.end(),
+                                  [&](const auto& l) { return l.second.host == h.name; });
+        return {h.spot && 2 * (spot + 1) > job.spec.tasks, static_cast<size_t>(here)};
+    }
+
+    // Whether a machine that has room would be a better place for a replica than the one that asks.
+    bool spreads_better(const Job& job, const Host& asker) {
+        size_t spot = 0;
+        for (const auto& [task, p] : job.live)
+            if (const Host* h = cluster_.host(p.host); h && h->spot) ++spot;
+        auto mine = crowding(job, asker, spot);
+        if (mine == std::pair<bool, size_t>{}) return false;
+        ZoneRule rule(job);
+        count(usable_.size());
+        return std::any_of(usable_.begin(), usable_.end(), [&](const Host* h) {
+            return h != &asker && fits(job, *h) && rule.room(h->zone) > 0 && crowding(job, *h, spot) < mine;
+        });
+    }
+
+    // Other machines with the image and room, up to `most`.
+    uint32_t holders(const Job& job, const Host& asker, uint32_t most) {
+        uint32_t n = 0;
         auto [it, fresh] = holders_.try_emplace(job.spec.image);
         if (fresh) {
             count(usable_.size());
@@ -288,8 +331,8 @@
                 if (h->cache.has(job.spec.image)) it->second.push_back(h);
         }
         for (const Host* h : it->second)
-            if (h != &asker && fits(job, *h) && ZoneRule(job).room(h->zone) > 0) return true;
-        return false;
+            if (n < most && h != &asker && fits(job, *h) && ZoneRule(job).room(h->zone) > 0) ++n;
+        return n;
     }
 
     // Machines for n tasks of a gang, those with the image first; empty if there is not room for all.
@@ -410,7 +453,8 @@
         TeamUse freed;
         for (const auto& [id, v] : jobs_.all()) {
             if (v->spec.team != s.team) continue;
-            bool yields = v->spec.rank < s.rank && !v->withdrawn && (!v->spec.gang() || v->spec.tasks == 1);
+            bool yields = v->spec.rank < s.rank && !v->withdrawn && !v->spec.service() &&
+                          (!v->spec.gang() || v->spec.tasks == 1);
             for (const auto& [task, p] : v->live) {
                 if (p.stopping) {
                     freed.cpus += v->spec.cpus;
@@ -490,12 +534,12 @@
     // Jobs that ask the same of machines and before which the same work yields: what machines offer them is
     // found once a round, and again only of machines that have changed since. Looked at job by job, a queue
     // of 100 gangs cost 700 machines each, and a round took longer than the leader's share allows.
-    using Demand = std::tuple<double, double, double, std::vector<std::string>, std::string, bool, bool, Rank,
-                              bool, std::string>;
+    using Demand = std::tuple<double, double, double, std::vector<std::string>, std::string, bool, Shape,
+                              Rank, bool, std::string>;
     static Demand demand(const Queued& q) {
         const JobSpec& s = q.job->spec;
-        return {s.cpus, s.gpus,   s.memory_gb, s.flavors,  s.zone,
-                s.spot, s.gang(), s.rank,      q.entitled, q.entitled ? s.team : std::string()};
+        return {s.cpus, s.gpus,  s.memory_gb, s.flavors,  s.zone,
+                s.spot, s.shape, s.rank,      q.entitled, q.entitled ? s.team : std::string()};
     }
 
     const std::vector<Offer>& offers_of(const Queued& q) {
@@ -532,12 +576,13 @@
 
     bool yields(const Job& victim, const Queued& q) const {
         if (&victim == q.job || victim.withdrawn) return false;
+        if (victim.spec.service()) return false;  // its replicas make room for nobody
         // Stopped, its only task would be what a starved job began with, and it would take the room again.
         if (in_.now - victim.accepted > in_.settings.begin_bound_s && victim.done.empty() &&
             victim.live.size() == 1)
             return false;
-        if (victim.spec.rank < q.job->spec.rank && !(entitled_.count(&victim) > 0 && !q.entitled))
-            return true;
+        bool guarded = entitled_.count(&victim) > 0 && !q.entitled && !q.first;
+        if (victim.spec.rank < q.job->spec.rank && !guarded) return true;
         return q.entitled && victim.spec.team != q.job->spec.team && entitled_.count(&victim) == 0;
     }
 
@@ -551,7 +596,9 @@
             spent += constants::kStartCounts_s;
         else if (v.job->spec.checkpoint_s > 0)
             spent = std::fmod(spent, v.job->spec.checkpoint_s);
-        return v.job->spec.gpus * (spent + constants::kStartLead_s);
+        // A gang is stopped whole.
+        uint32_t tasks = v.job->spec.gang() ? v.job->spec.tasks : 1;
+        return tasks * v.job->spec.gpus * (spent + constants::kStartLead_s);
     }
 
     // Those that lose least go first: arrays before gangs, what can save before what cannot, the lowest
@@ -581,8 +628,11 @@
                 continue;
             }
             // Only gangs wait for what comes free by itself.
-            if (q.job->spec.gang()) ends.emplace_back(expected_end(*v, *p), Amount::of(v->spec));
-            if (yields(*v, q) && (!v->spec.gang() || v->spec.tasks == 1)) victims.push_back({v, task, p, &h});
+            if (q.job->spec.gang() && !v->spec.service())
+                ends.emplace_back(expected_end(*v, *p), Amount::of(v->spec));
+            // A service does not wait for a gang to end, which may take all the room there is.
+            bool whole = !v->spec.gang() || v->spec.tasks == 1 || q.job->spec.service();
+            if (yields(*v, q) && whole) victims.push_back({v, task, p, &h});
         }
         const uint32_t most = constants::kReportPieces;  // no machine reports more tasks
         o.places = room.fits(q.job->spec, most);
@@ -615,6 +665,10 @@
         if (job.pending.empty() || !may_start(job)) return;
         // The queue's head decides; looking at all of a long queue would cost its length times the machines.
         if (++sought_ > constants::kRoomJobs) return;
+        if (job.spec.service()) {
+            make_room_for_replicas(q);
+            return;
+        }
         bool gang = job.spec.gang();
         if (gang && !job.live.empty() && (job.started || job.broken)) return;
         uint32_t n = job.pending.size();
@@ -644,6 +698,47 @@
         keep(job, best.keep, best.whole ? in_.now : best.at);
     }
 
+    // Replicas that have no room on any machine, as far as zones allow, get that of lower work at once.
+    void make_room_for_replicas(const Queued& q) {
+        const Job& job = *q.job;
+        uint32_t left = most_within_limit(job.spec, job.pending.size());
+        if (left == 0 || in_.now - job.waiting_since < in_.settings.preempt_after_s) return;
+        const std::vector<Offer>& offers = offers_of(q);
+        ZoneRule rule(job);
+        auto take = [&](const Offer& o) {
+            if (left == 0 || rule.room(o.host->zone) == 0) return false;
+            rule.add(o.host->zone);
+            --left;
+            return true;
+        };
+        struct Step {
+            double loss;
+            const Offer* offer;
+            size_t index;
+        };
+        std::vector<Step> steps;
+        count(offers.size());
+        for (const Offer& o : offers) {
+            if (avoids(job, *o.host)) continue;
+            for (uint32_t i = 0; i < o.places; ++i)
+                if (!take(o)) break;
+            for (size_t i = 0; i < o.steps.size(); ++i) steps.push_back({o.losses[i], &o, i});
+        }
+        if (left == 0) return;
+        // A machine's steps build on each other; the first of them loses least.
+        std::sort(steps.begin(), steps.end(), [](const Step& a, const Step& b) {
+            return std::tie(a.index, a.loss, a.offer->host->name) <
+                   std::tie(b.index, b.loss, b.offer->host->name);
+        });
+        std::vector<Victim> victims;
+        for (const Step& s : steps) {
+            if (!take(*s.offer)) continue;
+            const auto& v = s.offer->steps[s.index];
+            victims.insert(victims.end(), v.begin(), v.end());
+        }
+        stop_for(job, victims);
+    }
+
     // Where the places of a job that waits could come from in one zone.
     struct Room {
         std::vector<Host*> keep;  // one entry a place
--- a/src/match/match.h
+++ b/src/match/match.h
@@ -30,10 +30,11 @@
 // Jobs that fit into their team's guarantee together with the team's earlier unfinished jobs.
 std::set<const Job*> entitled_jobs(const Config& config, const JobTable& jobs);
 
-// The waiting jobs in the order in which they are served: those that would else starve, work within a
-// guarantee, then by priority, aged jobs before others, oldest first.
+// The waiting jobs in the order in which they are served: those that would else starve, services of
+// production rank, work within a guarantee, then by priority, aged jobs before others, oldest first.
 struct Queued {
     Job* job = nullptr;
+    bool first = false;    // a service of production rank: goes before all that has not starved
     bool starved = false;  // nothing of it has begun for so long that it goes before all others
     bool entitled = false;
     bool aged = false;
--- a/src/users/wire.cc
+++ b/src/users/wire.cc
@@ -149,7 +149,7 @@
         fits = true;
     }
     if (!fits) return "a task fits no allowed machine type";
-    double at_once = job.gang() ? job.tasks : 1;
+    double at_once = job.gang() || job.service() ? job.tasks : 1;
     if (team->cpus_max > 0 && job.cpus * at_once > team->cpus_max) return "more CPUs than the team's limit";
     if (team->gpus_max > 0 && job.gpus * at_once > team->gpus_max) return "more GPUs than the team's limit";
     return "";
--- a/tests/standins.cc
+++ b/tests/standins.cc
@@ -211,7 +211,13 @@
         .count(++seq)
         .key("epoch")
         .count(epoch);
-    p.key("warning_s").null().key("pieces").list(tasks.size());
+    p.key("warning_s");
+    if (notice_s) {
+        p.number(*notice_s);
+    } else {
+        p.null();
+    }
+    p.key("pieces").list(tasks.size());
     for (const auto& t : tasks) {
         p.map(4).key("piece").text(t.name.text()).key("try").count(t.attempt);
         p.key("phase")
--- a/tests/standins.h
+++ b/tests/standins.h
@@ -103,6 +103,7 @@
     bool spot = false;
     uint64_t session = 1, seq = 0, epoch = 0;
     std::vector<ReportedTask> tasks;
+    std::optional<double> notice_s;  // spot notice
 
     std::string report();
     bool deaf = false;  // its reports arrive, the answers to them do not
