--- a/src/base/constants.h
+++ b/src/base/constants.h
@@ -59,9 +59,17 @@
 inline constexpr double kRetryPauseMax_s = 2.0;    //   this: a service that comes back is not stampeded
 inline constexpr double kElectionSpread_s = 0.25;  // candidates wait up to this so that few collide
 inline constexpr double kLeaderShare = 0.75;       // share of write_rps that the leader uses itself
-inline constexpr size_t kRecordSpare = 700;        // bytes of value_kb left free in a job record
-inline constexpr size_t kPlacementBytes = 48;      // bytes one placement may need in a record
-inline constexpr size_t kTxnBytes = 48 * 1024;     // bytes of records in one transaction (limit 64 KiB)
+inline constexpr size_t kRecordLeast = 1024;  // bytes of value_kb: below, a common job's record does not fit
+inline constexpr size_t kRecordSpare =
+    200;                                  // bytes left free for one more placement on a machine of any name,
+                                          //   so that a job whose record is full goes on one by one
+inline constexpr size_t kHostDigits = 9;  // digits of a machine's number; more count as part of its name
+inline constexpr size_t kPlacementLeast = 3;  // JSON bytes that a placement takes in a record at least
+inline constexpr size_t kDoneGrowth = 5;      // JSON bytes by which a task's end may lengthen the done ranges
+inline constexpr size_t kSmallJob = 1024;     // up to so many tasks that is no more than kPlacementLeast
+inline constexpr size_t kPlacementFixed = 40;  // JSON bytes of a placement at most, its names apart
+inline constexpr double kFormEvery_s = 2.0;    // the form of the records is asked for, until it is the newest
+inline constexpr size_t kTxnBytes = 48 * 1024;  // bytes of records in one transaction (limit 64 KiB)
 
 // --- siblings ---------------------------------------------------------------------------------------
 inline constexpr double kBeat_s = 1.0;        // interval of the heartbeat between controllers
--- a/src/base/ranges.cc
+++ b/src/base/ranges.cc
@@ -77,6 +77,11 @@
     return true;
 }
 
+void Ranges::append(uint32_t first, uint32_t last) {
+    map_[first] = last;
+    size_ += last - first + 1;
+}
+
 bool Ranges::covers(const Ranges& other) const {
     for (const auto& [first, last] : other.map_) {
         auto it = map_.upper_bound(first);
--- a/src/base/ranges.h
+++ b/src/base/ranges.h
@@ -21,6 +21,10 @@
     std::optional<uint32_t> first() const;
     uint32_t size() const { return size_; }
     bool empty() const { return size_ == 0; }
+    // The ranges themselves, first to last number, in order.
+    const std::map<uint32_t, uint32_t>& all() const { return map_; }
+    // Adds a range that begins behind all others and does not touch them.
+    void append(uint32_t first, uint32_t last);
     size_t pieces() const { return map_.size(); }  // number of ranges
     std::string text() const;                      // "0-3,7"
     bool operator==(const Ranges&) const = default;
--- a/src/config/config.cc
+++ b/src/config/config.cc
@@ -5,6 +5,8 @@
 #include <cmath>
 #include <functional>
 
+#include "base/constants.h"
+
 namespace hareshore {
 
 const Team* Config::team(const std::string& name) const {
@@ -108,6 +110,18 @@
     c.write_rps = pos("facts.state.write_rps");
     c.value_bytes = static_cast<size_t>(pos("facts.state.value_kb") * 1024);
     c.txn_ops = static_cast<size_t>(number(at("facts.state.txn_ops"), "facts.state.txn_ops", 2, 1e6));
+    if (auto next = at("facts.state.next")) {
+        if (!next.is_table()) fail("facts.state.next", "a table is needed");
+        constexpr double kMost = 1e9;
+        if (next["value_kb"])
+            c.next_value_bytes = static_cast<size_t>(number(next["value_kb"], "facts.state.next.value_kb",
+                                                            constants::kRecordLeast / 1024.0, kMost) *
+                                                     1024);
+        if (next["txn_ops"])
+            c.txn_ops = std::min(
+                c.txn_ops, static_cast<size_t>(number(next["txn_ops"], "facts.state.next.txn_ops", 2, 1e6)));
+        if (next["write_rps"]) c.write_rps = std::min(c.write_rps, pos("facts.state.next.write_rps"));
+    }
     c.cloud_rps = pos("facts.cloud.rps");
     c.list_lag_s = number(at("facts.cloud.list_lag_s"), "facts.cloud.list_lag_s", 0, 1e6);
     c.sockets = at("facts.machine_limits.sockets")
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -1,5 +1,7 @@
 // The platform's settings file (TOML) and the operators' own settings (S-expressions), both checked.
 #pragma once
+#include <algorithm>
+#include <cstdint>
 #include <map>
 #include <stdexcept>
 #include <string>
@@ -34,6 +36,13 @@
     Seconds report_s = 0, lease_s = 0, gang_wait_s = 0, gang_peer_s = 0, cancel_s = 0;
     double state_rps = 0, write_rps = 0;
     size_t value_bytes = 0, txn_ops = 0;
+    // The state service will lower its limits at some moment after an upgrade, without notice
+    // (facts.state.next). txn_ops and write_rps are the smaller of both from the start; a value may be as
+    // large as today until records of form 2 are written, and from then on as large as both allow.
+    size_t next_value_bytes = SIZE_MAX;
+    size_t value_limit(uint64_t form) const {
+        return form < 2 ? value_bytes : std::min(value_bytes, next_value_bytes);
+    }
     double cloud_rps = 0;
     Seconds list_lag_s = 0;
     size_t sockets = 0;
--- a/src/http/pack.cc
+++ b/src/http/pack.cc
@@ -1,5 +1,8 @@
 #include "http/pack.h"
 
+#include <algorithm>
+#include <charconv>
+
 #include "base/constants.h"
 
 namespace hareshore {
@@ -67,6 +70,76 @@
     }
 }
 
+size_t json_text_size(std::string_view text) {
+    size_t n = 2;
+    for (unsigned char c : text) {
+        if (c == '"' || c == '\\') {
+            n += 2;
+        } else if (c < 0x20 || c == 0x7f) {
+            n += 6;
+        } else if (c < 0x80) {
+            n += 1;
+        } else if (c >= 0xf0) {
+            n += 12;  // the first of a code point's bytes counts for all: a pair of \u escapes
+        } else if (c >= 0xc0) {
+            n += 6;
+        }
+    }
+    return n;
+}
+
+size_t json_number_size(double d) {
+    // The longer of the usual ways to write it.
+    char text[400];
+    auto shortest = std::to_chars(text, text + sizeof text, d, std::chars_format::scientific);
+    auto n = static_cast<size_t>(shortest.ptr - text);
+    if (std::abs(d) < 1e17) {
+        auto fixed = std::to_chars(text, text + sizeof text, d, std::chars_format::fixed);
+        n = std::max(n, static_cast<size_t>(fixed.ptr - text));
+    }
+    return n + 2;  // ".0"
+}
+
+namespace {
+
+size_t json_size(const msgpack::object& o) {
+    switch (o.type) {
+        case msgpack::type::NIL:
+            return 4;
+        case msgpack::type::BOOLEAN:
+            return o.via.boolean ? 4 : 5;
+        case msgpack::type::POSITIVE_INTEGER:
+            return std::to_string(o.via.u64).size();
+        case msgpack::type::NEGATIVE_INTEGER:
+            return std::to_string(o.via.i64).size();
+        case msgpack::type::FLOAT32:
+        case msgpack::type::FLOAT64:
+            return json_number_size(o.via.f64);
+        case msgpack::type::STR:
+            return json_text_size({o.via.str.ptr, o.via.str.size});
+        case msgpack::type::ARRAY: {
+            size_t n = 2 + 2 * static_cast<size_t>(o.via.array.size);
+            for (uint32_t i = 0; i < o.via.array.size; ++i) n += json_size(o.via.array.ptr[i]);
+            return n;
+        }
+        case msgpack::type::MAP: {
+            size_t n = 2 + 4 * static_cast<size_t>(o.via.map.size);
+            for (uint32_t i = 0; i < o.via.map.size; ++i)
+                n += json_size(o.via.map.ptr[i].key) + json_size(o.via.map.ptr[i].val);
+            return n;
+        }
+        default:
+            return SIZE_MAX / 4;  // nothing that we write
+    }
+}
+
+}  // namespace
+
+size_t json_size(std::string_view packed) {
+    auto m = Message::parse(packed);
+    return m ? json_size(*m->root().raw()) : SIZE_MAX / 4;
+}
+
 Packer& Packer::map(size_t n) {
     packer_.pack_map(static_cast<uint32_t>(n));
     return *this;
--- a/src/jobs/record.cc
+++ b/src/jobs/record.cc
@@ -3,6 +3,7 @@
 #include <charconv>
 
 #include "base/constants.h"
+#include "jobs/compact.h"
 
 namespace hareshore {
 
@@ -11,9 +12,9 @@
     return live.empty() ? JobPhase::kPending : JobPhase::kRunning;
 }
 
-std::string JobRecord::pack() const {
+std::string JobRecord::pack(uint64_t form) const {
     Packer p;
-    p.map(26);
+    p.map(form < 2 ? 26 : 28);
     p.key("id").text(spec.id).key("class").text(spec.job_class).key("team").text(spec.team);
     p.key("shape")
         .count(static_cast<uint64_t>(spec.shape))
@@ -27,15 +28,33 @@
     p.key("spot").flag(spec.spot).key("estimate_s").number(spec.estimate_s);
     p.key("checkpoint_s").number(spec.checkpoint_s).key("save_s").number(spec.save_s);
     p.key("due_s").number(spec.due_s.value_or(-1)).key("at").number(accepted_wall);
-    p.key("withdrawn").flag(withdrawn).key("done").text(done.text()).key("next").count(next_attempt);
-    // A placement a line, "task attempt host zone"; names of machines have no spaces.
-    p.key("live").list(live.size());
-    for (const auto& [task, b] : live)
-        p.text(std::to_string(task) + ' ' + std::to_string(b.attempt) + ' ' + b.host + ' ' + b.zone);
-    p.key("v").count(1);
+    p.key("withdrawn").flag(withdrawn);
+    p.key("done").text(form < 2 ? done.text() : compact_ranges(done)).key("next").count(next_attempt);
+    if (form < 2) {
+        // A placement a line, "task attempt host zone"; names of machines have no spaces.
+        p.key("live").list(live.size());
+        for (const auto& [task, b] : live)
+            p.text(std::to_string(task) + ' ' + std::to_string(b.attempt) + ' ' + b.host + ' ' + b.zone);
+    } else {
+        std::vector<LiveTask> tasks;
+        tasks.reserve(live.size());
+        for (const auto& [task, b] : live) tasks.push_back({task, b.attempt, b.host, b.zone});
+        CompactLive c = compact_live(tasks);
+        p.key("zones").list(c.zones.size());
+        for (const auto& z : c.zones) p.text(z);
+        p.key("hosts").list(c.names.size());
+        for (const auto& h : c.names) p.text(h);
+        p.key("live").text(c.text);
+    }
+    p.key("v").count(form);
     return p.take();
 }
 
+bool newer_form(const std::string& packed) {
+    auto m = Message::parse(packed);
+    return m && m->root().is_map() && m->root()["v"].count_or(1) > kNewestForm;
+}
+
 namespace {
 
 std::optional<std::pair<uint32_t, Bound>> parse_bound(const std::string& s) {
@@ -61,6 +80,8 @@
     auto m = Message::parse(packed);
     if (!m || !m->root().is_map()) return std::nullopt;
     Node n = m->root();
+    uint64_t form = n["v"].count_or(1);
+    if (form > kNewestForm) return std::nullopt;
     JobRecord r;
     r.spec.id = n["id"].text_or("");
     r.spec.job_class = n["class"].text_or("");
@@ -86,10 +107,24 @@
     if (double due = n["due_s"].number_or(-1); due >= 0) r.spec.due_s = due;
     r.accepted_wall = n["at"].number_or(0);
     r.withdrawn = n["withdrawn"].flag_or(false);
-    auto done = Ranges::parse(n["done"].text_or(""), r.spec.tasks);
+    std::string done_text = n["done"].text_or("");
+    auto done =
+        form < 2 ? Ranges::parse(done_text, r.spec.tasks) : parse_compact_ranges(done_text, r.spec.tasks);
     if (!done) return std::nullopt;
     r.done = *done;
     r.next_attempt = std::max<uint64_t>(1, n["next"].count_or(1));
+    if (form >= 2) {
+        CompactLive c;
+        for (size_t i = 0; i < n["zones"].size(); ++i) c.zones.push_back(n["zones"].at(i).text_or(""));
+        for (size_t i = 0; i < n["hosts"].size(); ++i) c.names.push_back(n["hosts"].at(i).text_or(""));
+        auto text = n["live"].text();
+        if (!text) return std::nullopt;
+        c.text = std::move(*text);
+        auto live = parse_compact_live(c, r.spec.tasks);
+        if (!live) return std::nullopt;
+        r.live = std::move(*live);
+        return r;
+    }
     for (size_t i = 0; i < n["live"].size(); ++i) {
         auto b = parse_bound(n["live"].at(i).text_or(""));
         if (!b || b->first >= r.spec.tasks) return std::nullopt;
@@ -116,6 +151,7 @@
     auto m = Message::parse(packed);
     if (!m || !m->root().is_map()) return std::nullopt;
     FinalRecord r;
+    if (m->root()["v"].count_or(1) > kNewestForm) return std::nullopt;
     auto withdrawn = m->root()["withdrawn"].flag();
     r.id = m->root()["id"].text_or("");
     if (!withdrawn || r.id.empty()) return std::nullopt;
--- a/src/jobs/record.h
+++ b/src/jobs/record.h
@@ -24,10 +24,17 @@
     std::map<uint32_t, Bound> live;  // by task
 
     JobPhase phase() const;
-    std::string pack() const;
+    // Form 1 is what the production version reads; see jobs/compact.h for form 2.
+    std::string pack(uint64_t form) const;
+    // Nothing if the record is not readable, or of a form that is newer than known.
     static std::optional<JobRecord> unpack(const std::string& packed);
 };
 
+// The newest form of records that this version reads and writes.
+inline constexpr uint64_t kNewestForm = 2;
+// Whether a packed record says that its form is newer than that.
+bool newer_form(const std::string& packed);
+
 // What is kept of a finished job.
 struct FinalRecord {
     std::string id;
--- a/src/jobs/table.cc
+++ b/src/jobs/table.cc
@@ -4,6 +4,7 @@
 
 #include "base/constants.h"
 #include "base/log.h"
+#include "jobs/compact.h"
 
 namespace hareshore {
 
@@ -55,10 +56,96 @@
     return lost;
 }
 
-bool Job::room_in_record(size_t value_bytes, uint32_t more) const {
-    size_t used =
-        constants::kRecordSpare + done.pieces() * 13 + (live.size() + more) * constants::kPlacementBytes;
-    return used < value_bytes;
+namespace {
+
+size_t form1_placement(uint32_t task, uint64_t attempt, std::string_view host, std::string_view zone) {
+    return std::to_string(task).size() + std::to_string(attempt).size() + json_text_size(host) +
+           json_text_size(zone) + 3;  // two spaces in the line and two behind it, of four quotes two go
+}
+
+size_t form2_live(const std::vector<LiveTask>& live) {
+    CompactLive c = compact_live(live);
+    size_t n = c.text.size();
+    for (const auto& z : c.zones) n += json_text_size(z) + 2;
+    for (const auto& h : c.names) n += json_text_size(h) + 2;
+    return n;
+}
+
+std::vector<LiveTask> live_tasks(const Job& job) {
+    std::vector<LiveTask> out;
+    out.reserve(job.live.size());
+    for (const auto& [task, p] : job.live) out.push_back({task, p.attempt, p.host, p.zone});
+    return out;
+}
+
+}  // namespace
+
+Job::RecordSize& Job::measured(uint64_t form, bool exact) const {
+    RecordSize& s = sizes[form - 1];
+    if (s.version == version && (s.exact || !exact)) return s;
+    if (fixed_bytes == 0) {
+        JobRecord bare;
+        bare.spec = spec;
+        bare.accepted_wall = accepted_wall;
+        bare.next_attempt = constants::kMaxCount;
+        fixed_bytes = json_size(bare.pack(2));  // form 1 has fewer fields
+    }
+    size_t n = fixed_bytes;
+    if (form < 2) {
+        n += done.text().size();
+        for (const auto& [task, p] : live) n += form1_placement(task, p.attempt, p.host, p.zone);
+    } else {
+        n += compact_ranges(done).size() + form2_live(live_tasks(*this));
+    }
+    return s = {version, n, true};
+}
+
+size_t Job::record_bytes(uint64_t form) const {
+    return measured(form, true).bytes;
+}
+
+size_t Job::placement_bytes(uint64_t form, const Host& on) const {
+    if (form < 2) return form1_placement(spec.tasks, next_attempt, on.name, on.zone);
+    size_t n = constants::kPlacementFixed + json_text_size(on.name) + 3;
+    bool known_zone =
+        std::any_of(live.begin(), live.end(), [&](const auto& l) { return l.second.zone == on.zone; });
+    // With one zone more each placement's number may become a digit longer.
+    if (!known_zone) n += json_text_size(on.zone) + 2 + live.size();
+    return n;
+}
+
+bool Job::room_in_record(const Config& config, uint64_t form, std::span<const Host* const> on) const {
+    // Of what is written today and of what form 2 would be, each has its limit.
+    for (uint64_t f = form; f <= kNewestForm; ++f) {
+        size_t limit = config.value_limit(f);
+        // The ends of what is live may lengthen the done ranges by more than they take away.
+        size_t growth =
+            spec.tasks > constants::kSmallJob ? constants::kDoneGrowth - constants::kPlacementLeast : 0;
+        growth *= live.size() + on.size();
+        size_t more = 0;
+        for (const Host* h : on) more += placement_bytes(f, *h);
+        // Room for one stays free, unless this is the one: a job whose record is full goes on one by one.
+        size_t least = live.empty() && on.size() == 1 ? 0 : constants::kRecordSpare;
+        auto fits = [&](size_t bytes) { return bytes + std::max(more, least) + growth <= limit; };
+        if (fits(measured(f, false).bytes) || fits(measured(f, true).bytes)) continue;
+        if (on.size() == 1) return false;
+        // Several at once, a gang's: what they add exactly.
+        size_t bytes = fixed_bytes;
+        if (f < 2) {
+            bytes = measured(f, true).bytes + more;
+        } else {
+            auto tasks = live_tasks(*this);
+            auto range = pending.all().begin();
+            uint32_t task = range->first;
+            for (const Host* h : on) {
+                tasks.push_back({task, live.empty() ? next_attempt : attempt, h->name, h->zone});
+                if (task++ == range->second && ++range != pending.all().end()) task = range->first;
+            }
+            bytes += compact_ranges(done).size() + form2_live(tasks);
+        }
+        if (bytes + growth > limit) return false;
+    }
+    return true;
 }
 
 JobRecord Job::record() const {
@@ -82,6 +169,7 @@
 }
 
 Job& JobTable::load(const JobRecord& r, uint64_t stamp, Seconds now, double wall) {
+    kept_off_.erase(r.spec.id);
     auto& slot = jobs_[r.spec.id];
     if (slot) {
         // Only users change a record besides this leader, and only to withdraw the job.
@@ -139,6 +227,7 @@
     dirty_.clear();
     queued_.clear();
     by_host_.clear();
+    kept_off_.clear();
 }
 
 void JobTable::touch(Job& job) {
@@ -150,7 +239,17 @@
     if (queued_.insert(job.spec.id).second) dirty_.push_back(job.spec.id);
 }
 
-std::vector<Job*> JobTable::take_dirty(size_t most_ops, size_t most_bytes) {
+void JobTable::requeue_all() {
+    for (auto& [id, job] : jobs_)
+        if (job->dirty()) requeue(*job);
+}
+
+void JobTable::keep_off(const std::string& id) {
+    erase(id);
+    kept_off_.insert(id);
+}
+
+std::vector<Job*> JobTable::take_dirty(size_t most_ops, size_t most_bytes, uint64_t form) {
     std::vector<Job*> out;
     std::vector<std::string> rest;
     size_t ops = 0, bytes = 0;
@@ -162,8 +261,7 @@
             continue;
         }
         size_t cost = j->over() || j->withdrawn ? 2 : 1;
-        size_t size =
-            constants::kRecordSpare + j->done.pieces() * 13 + j->live.size() * constants::kPlacementBytes;
+        size_t size = j->record_bytes(form);
         full = full || ops + cost > most_ops || (bytes > 0 && bytes + size > most_bytes);
         if (full) {
             rest.push_back(std::move(id));
@@ -179,6 +277,10 @@
 }
 
 Placement& JobTable::bind(Job& job, uint32_t task, const Host& host, uint64_t attempt, Seconds now) {
+    for (uint64_t form = 1; form <= kNewestForm; ++form) {
+        auto& s = job.sizes[form - 1];
+        if (s.version == job.version) s = {job.version + 1, s.bytes + job.placement_bytes(form, host), false};
+    }
     touch(job);
     Placement p;
     p.attempt = attempt;
@@ -492,6 +594,7 @@
     std::set<std::pair<TaskName, uint64_t>> present;
     for (const auto& t : host.tasks) {
         present.insert({t.name, t.attempt});
+        if (kept_off(t.name.job)) continue;
         Job* job = find(t.name.job);
         if (t.phase == TaskPhase::kExited) {
             // Forgotten only when the state service has what came of it.
--- a/src/jobs/table.h
+++ b/src/jobs/table.h
@@ -1,8 +1,10 @@
 // The unfinished jobs and their lifecycle. No I/O; time is a parameter.
 #pragma once
+#include <array>
 #include <functional>
 #include <memory>
 #include <set>
+#include <span>
 #include <unordered_map>
 
 #include "fleet/cluster.h"
@@ -75,6 +77,23 @@
     Wait why = Wait::kNew;
     Seconds why_logged = -1e9;
 
+    // Set aside: the record is too large for the state service, or it said so, until it changes.
+    uint64_t aside_version = 0, aside_form = 0;  // form 0: it is not
+    bool aside(uint64_t form) const { return aside_form == form && aside_version == version; }
+
+    // What record_bytes found out for forms 1 and 2. A binding only raises it by the most that it can add: to
+    // write the record for each task of a large array would cost the square of their number.
+    struct RecordSize {
+        uint64_t version = UINT64_MAX;
+        size_t bytes = 0;
+        bool exact = false;
+    };
+    mutable std::array<RecordSize, kNewestForm> sizes;
+    mutable size_t fixed_bytes = 0;  // of the record without placements and done ranges; 0: not known yet
+    size_t placement_bytes(uint64_t form,
+                           const Host& on) const;  // that one more on this machine adds at most
+    RecordSize& measured(uint64_t form, bool exact) const;
+
     bool over() const { return done.size() == spec.tasks; }
     bool dirty() const { return version != committed; }
     bool waiting() const { return !withdrawn && !over() && !pending.empty(); }
@@ -86,7 +105,11 @@
     bool late(const Config& config, Seconds now) const;
     // How many of its class's aims a task of it that starts now can no longer meet.
     int aims_lost(const Config& config, Seconds now) const;
-    bool room_in_record(size_t value_bytes, uint32_t more) const;
+    // Whether the record holds one more task on each of these machines, whatever becomes of its tasks: it
+    // must fit the limit today, and in form 2 also the later one.
+    bool room_in_record(const Config& config, uint64_t form, std::span<const Host* const> on) const;
+    // The length of the record's JSON text in that form, at most.
+    size_t record_bytes(uint64_t form) const;
     JobRecord record() const;
 };
 
@@ -123,10 +146,17 @@
     // Marks the job changed; it will be written.
     void touch(Job& job);
     // Jobs with changes that are not on their way, oldest change first.
-    std::vector<Job*> take_dirty(size_t most_ops, size_t most_bytes);
+    std::vector<Job*> take_dirty(size_t most_ops, size_t most_bytes, uint64_t form);
     bool any_dirty() const { return !dirty_.empty(); }
     size_t backlog() const { return dirty_.size(); }  // records that wait to be written
     void requeue(Job& job);
+    // Queues anew what was set aside: what could not be written in one form may fit in another.
+    void requeue_all();
+    // A job whose record cannot be read here, perhaps a later version's: its placements are not known.
+    // Nothing is decided about it: its tasks are neither halted nor forgotten, and a machine that has one is
+    // not used.
+    void keep_off(const std::string& id);
+    bool kept_off(const std::string& id) const { return kept_off_.count(id) > 0; }
 
     // Takes in a machine's report; `absence` says that what it lacks is proven not to be there.
     // Returns whether anything changed that matters to others (room, phases).
@@ -156,6 +186,7 @@
     std::vector<std::string> dirty_;  // ids, in order of change
     std::set<std::string> queued_;    // what dirty_ holds
     std::set<std::string> urgent_;
+    std::set<std::string> kept_off_;
     std::unordered_map<std::string, std::vector<Resident>> by_host_;
 };
 
--- a/src/lead/election.cc
+++ b/src/lead/election.cc
@@ -2,6 +2,7 @@
 
 #include "base/constants.h"
 #include "base/log.h"
+#include "state/form.h"
 
 namespace hareshore {
 
@@ -45,6 +46,14 @@
     deposed("resigned");
 }
 
+void Election::bar() {
+    if (barred_) return;
+    barred_ = true;
+    if (!leading_) return;
+    resigning_ = true;
+    deposed("the records are of a form that this version does not know");
+}
+
 Task<void> Election::run() {
     while (true) {
         if (leading_) {
@@ -73,7 +82,7 @@
             leader_.clear();
             changed_.notify();
         }
-        if (loop_.now() < out_until_) {
+        if (barred_ || loop_.now() < out_until_) {
             co_await loop_.sleep(constants::kLeadRenew_s);
             co_return;
         }
@@ -118,6 +127,17 @@
         co_await loop_.sleep(pause_);
         co_return;
     }
+    GetResult form = co_await state_.get(kFormKey, constants::kStateCall_s);
+    if (form.reply != Reply::kOk && form.reply != Reply::kAbsent) {
+        pause_longer();
+        co_await loop_.sleep(pause_);
+        co_return;
+    }
+    if (form.reply == Reply::kOk && unpack_form(form.entry.data) > kNewestForm) {
+        log::error("not standing for election: the records are of a form that this version does not know");
+        bar();
+        co_return;
+    }
     uint64_t last = 0;
     if (term.reply == Reply::kOk) {
         auto m = Message::parse(term.entry.data);
@@ -138,6 +158,7 @@
     uint64_t epoch = std::max(last, known_epoch_) + 1;
     Txn txn;
     txn.expect(kLeaderKey, 0).expect(kTermKey, term.reply == Reply::kOk ? term.entry.stamp : 0);
+    txn.expect(kFormKey, form.reply == Reply::kOk ? form.entry.stamp : 0);
     std::string mine = pack_leader(label_, epoch);
     txn.put(kLeaderKey, mine, lease.lease).put(kTermKey, mine);
     TxnResult r = co_await state_.commit(std::move(txn), constants::kStateCall_s);
--- a/src/lead/election.h
+++ b/src/lead/election.h
@@ -28,6 +28,8 @@
     void heard(const std::string& label, uint64_t epoch);
     // Gives leadership up and stays out of the next elections for a while.
     void resign(Seconds stay_out);
+    // This version does not understand what is kept: it neither leads nor stands any more.
+    void bar();
 
   private:
     Task<void> follow();
@@ -41,6 +43,7 @@
     double spread_;  // 0 to 1: this node's place among the candidates
     bool leading_ = false;
     bool resigning_ = false;
+    bool barred_ = false;
     uint64_t epoch_ = 0, stamp_ = 0, lease_ = 0, known_epoch_ = 0;
     std::string leader_;
     Seconds confirmed_until_ = -1;
--- a/src/lead/leader.cc
+++ b/src/lead/leader.cc
@@ -20,7 +20,8 @@
 }  // namespace
 
 Leader::Leader(Loop& loop, const Config& config, const Settings& settings, StateService& state, Cloud& cloud,
-               Term term, std::vector<Flavor> flavors, Vouch vouch, Confirmed confirmed, Deposed deposed)
+               Term term, std::vector<Flavor> flavors, Vouch vouch, Confirmed confirmed, Deposed deposed,
+               Form& form, AllUpgraded all_upgraded)
     : loop_(loop),
       config_(config),
       settings_(settings),
@@ -30,6 +31,8 @@
       vouch_(std::move(vouch)),
       confirmed_(std::move(confirmed)),
       deposed_(std::move(deposed)),
+      form_(form),
+      all_upgraded_(std::move(all_upgraded)),
       writes_(config.write_rps * constants::kLeaderShare,
               std::max(2.0, config.write_rps * constants::kLeaderShare)),
       ready_(loop),
@@ -71,6 +74,7 @@
 
 Task<void> Leader::load() {
     Seconds began = loop_.now();
+    while (!co_await learn_form(state_, form_)) co_await loop_.sleep(constants::kRetryPause_s * 2);
     while (!co_await read_records()) co_await loop_.sleep(constants::kRetryPause_s * 2);
     loaded_ = true;
     loaded_at_ = loop_.now();
@@ -79,6 +83,7 @@
     spawn(rounds(), "rounds");
     spawn(watch(), "watch");
     spawn(commit(), "commit");
+    spawn(raise_form(), "form of records");
     spawn(read_prices(), "prices");
     spawn(read_machines(), "machine list");
     spawn(run_fleet(), "fleet");
@@ -109,7 +114,11 @@
     if (c.dropped) return;  // only this leader drops records, and it knows
     auto record = JobRecord::unpack(c.data);
     if (!record || live_key(record->spec.id) != c.key) {
-        log::error("record {} is not readable", c.key);
+        std::string id = c.key.substr(kLivePrefix.size());
+        if (!jobs_.kept_off(id))
+            log::error("record {} is {}: nothing is decided about this job", c.key,
+                       newer_form(c.data) ? "of a form newer than this version knows" : "not readable");
+        jobs_.keep_off(id);
         return;
     }
     auto it = finished_.find(record->spec.id);
@@ -149,7 +158,13 @@
 // a late copy of it can change nothing.
 Task<void> Leader::commit() {
     Seconds pause = 0;
+    uint64_t form = form_.in_force();
+    size_t alone = 0;  // so many records are sent one by one, to learn which of them is refused
     while (true) {
+        if (form != form_.in_force()) {
+            form = form_.in_force();
+            jobs_.requeue_all();
+        }
         if (!jobs_.any_dirty()) {
             co_await loop_.wait(dirty_, -1);
             continue;
@@ -160,26 +175,43 @@
             continue;
         }
         size_t ops = std::min(config_.txn_ops, static_cast<size_t>(writes_.left(loop_.now())));
-        std::vector<Job*> batch = jobs_.take_dirty(std::max<size_t>(2, ops), constants::kTxnBytes);
-        if (batch.empty()) continue;
+        std::vector<Job*> batch = jobs_.take_dirty(std::max<size_t>(2, ops), constants::kTxnBytes, form);
+        if (alone > 0 && !batch.empty()) {
+            --alone;
+            for (size_t i = 1; i < batch.size(); ++i) jobs_.requeue(*batch[i]);
+            batch.resize(1);
+        }
         Txn txn;
         txn.expect(term_.key, term_.stamp);
         std::vector<std::string> ids;
         std::set<std::string> final_ids;
         for (Job* j : batch) {
             const std::string& id = j->spec.id;
+            bool final = j->withdrawn ? j->live.empty() : j->over();
+            std::string data;
+            if (!final) {
+                if (j->aside(form)) continue;
+                data = j->record().pack(form);
+                // What the service would refuse is not sent. Until the job's next change the record says
+                // that tasks are live which are not, never the other way round: starts are bounded by its
+                // room.
+                if (json_size(data) > config_.value_limit(form)) {
+                    set_aside(*j, j->version, form, "too large for the state service");
+                    continue;
+                }
+            }
             ids.push_back(id);
             j->inflight = j->version;
             txn.expect(live_key(id), j->stamp);
-            bool final = j->withdrawn ? j->live.empty() : j->over();
             if (final) {
                 FinalRecord f{id, j->withdrawn, j->spec.tasks, j->done.size()};
                 txn.put(final_key(id), f.pack()).drop(live_key(id));
                 final_ids.insert(id);
             } else {
-                txn.put(live_key(id), j->record().pack());
+                txn.put(live_key(id), std::move(data));
             }
         }
+        if (ids.empty()) continue;
         writes_.take(static_cast<double>(txn.writes.size()), loop_.now());
         TxnResult r = co_await state_.commit(std::move(txn), constants::kStateCall_s);
         if (r.reply == Reply::kOk) {
@@ -196,6 +228,14 @@
             for (const auto& h : hosts) wake(h);
             continue;
         }
+        if (r.reply == Reply::kInvalid && ids.size() == 1) {
+            if (Job* j = jobs_.find(ids[0])) {
+                set_aside(*j, j->inflight, form, "refused by the state service");
+                if (!j->aside(form)) jobs_.requeue(*j);  // it has changed since
+            }
+            continue;
+        }
+        if (r.reply == Reply::kInvalid) alone = ids.size();
         for (const auto& id : ids)
             if (Job* j = jobs_.find(id)) jobs_.requeue(*j);
         if (r.reply == Reply::kConflict) {
@@ -209,12 +249,37 @@
             ask_round();
             continue;
         }
-        if (r.reply == Reply::kRefused) writes_.drain(loop_.now());
+        if (r.reply == Reply::kRefused || r.reply == Reply::kLimited) writes_.drain(loop_.now());
         pause = std::clamp(pause * 2, constants::kRetryPause_s, constants::kRetryPauseMax_s);
         co_await loop_.sleep(pause);
     }
 }
 
+void Leader::set_aside(Job& job, uint64_t version, uint64_t form, const char* why) {
+    if (job.aside_form == 0)
+        log::error("job {}: its record of {} bytes is {}; it is kept here and written when it is smaller",
+                   job.spec.id, job.record_bytes(form), why);
+    job.aside_version = version;
+    job.aside_form = form;
+}
+
+// Form 2 is written from when every controller reads it, so that whoever leads next does. The key is put once
+// and stays.
+Task<void> Leader::raise_form() {
+    while (form_.kept < kNewestForm) {
+        if (all_upgraded_()) {
+            Txn txn;
+            txn.expect(term_.key, term_.stamp).expect(kFormKey, 0).put(kFormKey, pack_form(kNewestForm));
+            writes_.take(1, loop_.now());
+            co_await state_.commit(std::move(txn), constants::kStateCall_s);
+            // Whatever became of it, the key tells.
+            co_await learn_form(state_, form_);
+        }
+        if (form_.kept < kNewestForm) co_await loop_.sleep(constants::kFormEvery_s);
+    }
+    dirty_.notify();
+}
+
 // A record has another stamp than expected: its user withdrew the job, or an answer of ours was lost.
 Task<bool> Leader::reread(std::string id) {
     GetResult got = co_await state_.get(live_key(id), constants::kStateCall_s);
@@ -374,7 +439,7 @@
 void Leader::step() {
     if (!loaded_ || stopped_) return;
     cluster_.recount(jobs_, loop_.now(), constants::kFreshReports * config_.report_s);
-    MatchInput in{config_, settings_, loop_.now(), {}};
+    MatchInput in{config_, settings_, loop_.now(), {}, nullptr, form_.in_force()};
     for (auto& [name, h] : cluster_.hosts)
         if (h->holding) in.askers.push_back(h.get());
     for (const auto& b : match(cluster_, jobs_, in))
@@ -426,10 +491,16 @@
             cluster_.flavors = std::move(*flavors);
             if (!flavors_kept_) {
                 // Kept for controllers that start while the cloud is away.
-                Txn txn;
-                txn.expect(term_.key, term_.stamp).put(kFlavorsKey, Cloud::pack_flavors(cluster_.flavors));
-                TxnResult r = co_await state_.commit(std::move(txn), constants::kStateCall_s);
-                flavors_kept_ = r.reply == Reply::kOk;
+                std::string data = Cloud::pack_flavors(cluster_.flavors);
+                if (json_size(data) > config_.value_limit(kNewestForm)) {
+                    log::info("the machine types are too many to be kept in the state service");
+                    flavors_kept_ = true;
+                } else {
+                    Txn txn;
+                    txn.expect(term_.key, term_.stamp).put(kFlavorsKey, std::move(data));
+                    TxnResult r = co_await state_.commit(std::move(txn), constants::kStateCall_s);
+                    flavors_kept_ = r.reply == Reply::kOk || r.reply == Reply::kInvalid;
+                }
             }
             co_await loop_.sleep(constants::kFlavorsEvery_s);
         } else {
--- a/src/lead/leader.h
+++ b/src/lead/leader.h
@@ -7,7 +7,7 @@
 #include "base/bucket.h"
 #include "fleet/plan.h"
 #include "match/match.h"
-#include "state/state.h"
+#include "state/form.h"
 
 namespace hareshore {
 
@@ -24,9 +24,12 @@
     // Whether this leadership is certain now.
     using Confirmed = std::function<bool()>;
     using Deposed = std::function<void(const char* why)>;
+    // Whether every sibling has said that it knows the newest form of records.
+    using AllUpgraded = std::function<bool()>;
 
     Leader(Loop& loop, const Config& config, const Settings& settings, StateService& state, Cloud& cloud,
-           Term term, std::vector<Flavor> flavors, Vouch vouch, Confirmed confirmed, Deposed deposed);
+           Term term, std::vector<Flavor> flavors, Vouch vouch, Confirmed confirmed, Deposed deposed,
+           Form& form, AllUpgraded all_upgraded);
     void start();
     void stop();
     bool stopped() const { return stopped_; }
@@ -61,7 +64,9 @@
     Task<bool> read_records();
     Task<void> watch();
     Task<void> commit();
+    Task<void> raise_form();
     Task<bool> reread(std::string id);
+    void set_aside(Job& job, uint64_t version, uint64_t form, const char* why);
     Task<void> read_machines();
     Task<void> read_prices();
     Task<void> run_fleet();
@@ -95,6 +100,8 @@
     Vouch vouch_;
     Confirmed confirmed_;
     Deposed deposed_;
+    Form& form_;
+    AllUpgraded all_upgraded_;
 
     JobTable jobs_;
     Cluster cluster_;
--- a/src/match/match.cc
+++ b/src/match/match.cc
@@ -256,14 +256,15 @@
                 job.why = Wait::kTeamLimit;
                 continue;
             }
-            if (!job.room_in_record(in_.config.value_bytes, 1)) {
-                job.why = Wait::kRecordFull;
-                continue;
-            }
             if (!fits(job, h) || ZoneRule(job).room(h.zone) == 0) {
                 if (job.why != Wait::kHeldForImage) job.why = Wait::kNoRoom;
                 continue;
             }
+            const Host* one[] = {&h};
+            if (!job.room_in_record(in_.config, in_.form, one)) {
+                job.why = Wait::kRecordFull;
+                continue;
+            }
             bool cached = h.cache.has(job.spec.image);
             if (!cached && (in_.now < job.claimed_until ||
                             (in_.now - job.waiting_since < in_.settings.hold_s && idle_holder(job, h)))) {
@@ -350,10 +351,6 @@
             make_limit(q, n);
             return;
         }
-        if (!job.room_in_record(in_.config.value_bytes, n)) {
-            job.why = Wait::kRecordFull;
-            return;
-        }
         std::vector<Host*> best;
         uint32_t best_cached = 0;
         std::vector<std::string> zones = job.spec.one_zone ? in_.config.zones : std::vector<std::string>{""};
@@ -373,6 +370,11 @@
             job.why = Wait::kHeldForImage;
             return;
         }
+        std::vector<const Host*> on(best.begin(), best.end());
+        if (!job.room_in_record(in_.config, in_.form, on)) {
+            job.why = Wait::kRecordFull;
+            return;
+        }
         if (fresh) job.attempt = job.next_attempt++;
         for (Host* h : best) bind(job, *job.pending.first(), *h, job.attempt);
     }
--- a/src/match/match.h
+++ b/src/match/match.h
@@ -15,6 +15,7 @@
     std::vector<Host*> askers;
     uint64_t* steps =
         nullptr;  // counts the steps taken, machines looked at above all; for tests of their growth
+    uint64_t form = kNewestForm;  // of the records that are written now
 };
 
 struct Binding {
--- a/src/node.cc
+++ b/src/node.cc
@@ -43,7 +43,7 @@
       state_(loop, config.state, answer_limit(config)),
       cloud_(loop, config.cloud, config.cloud_rps, config.siblings.size() + 1),
       election_(loop, state_, config.label, place_of(config)),
-      users_(loop, config, state_, flavors_),
+      users_(loop, config, state_, flavors_, form_),
       siblings_(
           loop, config, [this] { return beat(); },
           [this](std::string body) { return relayed(std::move(body)); }),
@@ -53,6 +53,7 @@
     scope_.spawn(election_.run(), "election");
     scope_.spawn(follow_election(), "leadership");
     scope_.spawn(learn_flavors(), "machine types");
+    scope_.spawn(follow_form(), "form of records");
 }
 
 Controller::~Controller() {
@@ -97,6 +98,7 @@
 }
 
 bool Controller::ready() const {
+    if (form_.newer()) return false;  // of what is kept it understands nothing
     Seconds age = loop_.now() - std::max(state_.last_contact(), started_);
     if (state_.last_contact() < 0) {
         // Started in an outage: it has not learned the machine types, but tells users as well as any other
@@ -141,7 +143,8 @@
                 [this, epoch] { return election_.epoch() == epoch && election_.confirmed(); },
                 [this, epoch](const char* why) {
                     if (election_.epoch() == epoch) election_.deposed(why);
-                });
+                },
+                form_, [this] { return all_upgraded(); });
             leader_->start();
         }
     }
@@ -176,6 +179,19 @@
     }
 }
 
+// Until the newest form is in force; no version goes back after that.
+Task<void> Controller::follow_form() {
+    while (form_.kept < kNewestForm) {
+        co_await learn_form(state_, form_);
+        if (form_.kept < kNewestForm) co_await loop_.sleep(constants::kFormEvery_s);
+    }
+    if (form_.newer()) election_.bar();
+}
+
+bool Controller::all_upgraded() const {
+    return siblings_.peers().empty();
+}
+
 Task<Response> Controller::hello(std::string body) {
     auto report = Report::parse(body);
     if (!report) co_return status(400);
--- a/src/node.h
+++ b/src/node.h
@@ -22,6 +22,9 @@
   private:
     Task<void> follow_election();
     Task<void> learn_flavors();
+    Task<void> follow_form();
+    // Whether every sibling has said that it knows the newest form of records.
+    bool all_upgraded() const;
     Task<Response> hello(std::string body);
     Task<Response> relayed(std::string body);
     Response operator_page(const std::string& path);
@@ -38,6 +41,7 @@
     Cloud cloud_;
     Election election_;
     std::vector<Flavor> flavors_;
+    Form form_;
     UserService users_;
     std::shared_ptr<Leader> leader_;
     // When a worker was pointed to which leader: one that comes back could not reach it.
--- a/src/state/state.cc
+++ b/src/state/state.cc
@@ -51,7 +51,9 @@
     if (a.status == 404) return Reply::kAbsent;
     if (a.status == 409) return Reply::kConflict;
     if (a.status == 0 && a.sent) return Reply::kUnknown;
-    if (a.status == 0 || a.status == 503 || a.status == 429 || a.status == 400) return Reply::kRefused;
+    if (a.status == 429) return Reply::kLimited;
+    if (a.status == 400) return Reply::kInvalid;
+    if (a.status == 0 || a.status == 503) return Reply::kRefused;
     return Reply::kUnknown;
 }
 
--- a/src/state/state.h
+++ b/src/state/state.h
@@ -11,6 +11,8 @@
     kAbsent,    // the key or the lease does not exist
     kConflict,  // a condition failed; nothing was written
     kRefused,   // certainly not executed
+    kLimited,   // nor this, for the rate was exceeded
+    kInvalid,   // nor this, for what it is: the same again would get the same
     kUnknown,   // may have been executed, or may yet be
 };
 
--- a/src/users/service.cc
+++ b/src/users/service.cc
@@ -18,11 +18,12 @@
 }  // namespace
 
 UserService::UserService(Loop& loop, const Config& config, StateService& state,
-                         const std::vector<Flavor>& flavors)
+                         const std::vector<Flavor>& flavors, const Form& form)
     : loop_(loop),
       config_(config),
       state_(state),
       flavors_(flavors),
+      form_(form),
       most_busy_(std::max(constants::kUserCalls,
                           static_cast<size_t>(config.state_rps * constants::kUserRead_s /
                                               static_cast<double>(config.siblings.size() + 1)))),
@@ -85,7 +86,11 @@
         if (live.reply == Reply::kOk) {
             auto record = JobRecord::unpack(live.entry.data);
             if (!record) {
-                log::error("record {} is not readable", live.entry.key);
+                // Nothing is said of a job whose record means something unknown.
+                if (unreadable_.size() < constants::kFinalCache && unreadable_.insert(id).second)
+                    log::error("record {} is {}: its user gets 503", live.entry.key,
+                               newer_form(live.entry.data) ? "of a form newer than this version knows"
+                                                           : "not readable");
                 co_return k;
             }
             k.reply = Reply::kOk;
@@ -128,22 +133,28 @@
     JobSpec spec = std::get<JobSpec>(std::move(parsed));
     if (flavors_.empty()) co_return unavailable();  // what can run is not known yet
     Seconds until = loop_.now() + constants::kUserWrite_s;
+    if (form_.newer()) co_return unavailable();  // records are no longer ours to write
+    JobRecord record;
+    record.spec = spec;
+    record.accepted_wall = loop_.wall();
+    int status = 422;
     std::string never = never_runnable(spec, config_, flavors_);
+    if (never.empty()) {
+        never = never_recorded(record);
+        status = 400;
+    }
     if (!never.empty()) {
         // A job that was accepted once is known for ever, whatever the machine types are by now.
         Known k = co_await read(spec.id, until);
         if (k.reply == Reply::kOk) co_return told(spec.id, k, false);
         if (k.reply != Reply::kAbsent) co_return unavailable();
-        co_return plain(422, never);
+        co_return plain(status, never);
     }
     if (state_away()) co_return unavailable(503, constants::kRetryAfterOutage_s);
-    JobRecord record;
-    record.spec = spec;
-    record.accepted_wall = loop_.wall();
     Txn txn;
-    txn.expect(live_key(spec.id), 0).expect(final_key(spec.id), 0).put(live_key(spec.id), record.pack());
-    TxnResult r =
-        co_await state_.commit(std::move(txn), std::min(constants::kUserWrite_s, constants::kStateCall_s));
+    txn.expect(live_key(spec.id), 0).expect(final_key(spec.id), 0);
+    txn.put(live_key(spec.id), record.pack(form_.in_force()));
+    TxnResult r = co_await commit(std::move(txn), until);
     if (r.reply == Reply::kOk) {
         log::debug("job {} accepted, class {}, {} tasks, image {}, team {}", spec.id, spec.job_class,
                    spec.tasks, spec.image, spec.team);
@@ -157,6 +168,27 @@
     co_return unavailable();
 }
 
+Task<TxnResult> UserService::commit(Txn txn, Seconds until) {
+    Seconds pause = constants::kRetryPause_s;
+    while (true) {
+        TxnResult r = co_await state_.commit(txn, constants::kStateCall_s);
+        if (r.reply != Reply::kLimited || loop_.now() + pause > until) co_return r;
+        co_await loop_.sleep(pause);
+        pause = std::min(pause * 2, constants::kRetryPauseMax_s / 2);
+    }
+}
+
+std::string UserService::never_recorded(const JobRecord& record) const {
+    // All tasks of a gang are in its record at once. An array's or a service's start as its room allows, one
+    // at a time if need be.
+    size_t least = constants::kRecordSpare;
+    if (record.spec.gang()) least += (record.spec.tasks - 1) * constants::kPlacementLeast;
+    for (uint64_t form = form_.in_force(); form <= kNewestForm; ++form)
+        if (json_size(record.pack(form)) + least > config_.value_limit(form))
+            return "the job's description is too long to be kept, or its gang too large";
+    return "";
+}
+
 Task<Response> UserService::query(std::string id) {
     Known k = co_await read(id, loop_.now() + constants::kUserRead_s);
     if (k.reply == Reply::kOk) co_return told(id, k, true);
@@ -171,10 +203,22 @@
         if (k.reply == Reply::kAbsent) co_return plain(404, "unknown job");
         if (k.reply != Reply::kOk) co_return unavailable();
         if (k.final || k.record.withdrawn) co_return told(id, k, false);
+        if (form_.newer()) co_return unavailable();
         k.record.withdrawn = true;
+        uint64_t form = form_.in_force();
+        std::string data = k.record.pack(form);
+        if (json_size(data) > config_.value_limit(form)) {
+            // Of a withdrawn job nothing starts again: it is not needed any more which tasks are done.
+            k.record.done = {};
+            data = k.record.pack(form);
+        }
+        if (json_size(data) > config_.value_limit(form)) {
+            log::error("job {}: withdrawn by its user, but its record is too large to be written", id);
+            co_return unavailable();
+        }
         Txn txn;
-        txn.expect(live_key(id), k.stamp).put(live_key(id), k.record.pack());
-        TxnResult r = co_await state_.commit(std::move(txn), constants::kStateCall_s);
+        txn.expect(live_key(id), k.stamp).put(live_key(id), std::move(data));
+        TxnResult r = co_await commit(std::move(txn), until);
         if (r.reply == Reply::kOk) {
             k.phase = JobPhase::kWithdrawn;
             log::info("job {} withdrawn by its user", id);
--- a/tests/base_test.cc
+++ b/tests/base_test.cc
@@ -99,6 +99,41 @@
     EXPECT_EQ(c.ram_bytes, 300u * 1024 * 1024);
 }
 
+TEST(Config, TakesTheSmallerOfTodaysAndLaterLimits) {
+    auto with = [](const std::string& next) {
+        std::string text = kGood;
+        text.insert(text.find("[facts.cloud]"), next + "\n");
+        return Config::parse(text);
+    };
+    Config c = with("");
+    EXPECT_EQ(c.value_limit(1), 8192u);
+    EXPECT_EQ(c.value_limit(2), 8192u);
+    c = with("next = {value_kb = 2.0, txn_ops = 4, write_rps = 9.5}");
+    EXPECT_EQ(c.value_limit(1), 8192u) << "until form 2 is in force the old limits hold";
+    EXPECT_EQ(c.value_limit(2), 2048u);
+    EXPECT_EQ(c.txn_ops, 4u);
+    EXPECT_EQ(c.write_rps, 9.5);
+    c = with("next = {txn_ops = 100, later = 1}");
+    EXPECT_EQ(c.txn_ops, 12u);
+    EXPECT_EQ(c.write_rps, 15.0);
+    c = with("next = {value_kb = 99, write_rps = 99}");
+    EXPECT_EQ(c.value_limit(2), 8192u);
+    EXPECT_EQ(c.write_rps, 15.0);
+    for (const char* bad :
+         {"value_kb = 0", "value_kb = -2", "value_kb = \"2\"", "value_kb = 0.5", "txn_ops = 0", "txn_ops = 1",
+          "txn_ops = nan", "write_rps = 0.0", "write_rps = -1"}) {
+        std::string field = std::string(bad).substr(0, std::string(bad).find(' '));
+        try {
+            with(std::string("next = {") + bad + "}");
+            ADD_FAILURE() << bad;
+        } catch (const ConfigError& e) {
+            EXPECT_NE(std::string(e.what()).find("facts.state.next." + field), std::string::npos) << e.what();
+            EXPECT_EQ(std::string(e.what()).find('\n'), std::string::npos);
+        }
+    }
+    EXPECT_THROW(with("next = 3"), ConfigError);
+}
+
 TEST(Config, NamesTheFieldThatIsMissingOrInvalid) {
     auto error = [](std::string from, std::string to) {
         std::string text = kGood;
@@ -154,7 +189,7 @@
     r.next_attempt = 9;
     r.live[5] = {8, "vm-000003", "zone a"};
     r.live[6] = {8, "vm-000004", "b"};
-    auto again = JobRecord::unpack(r.pack());
+    auto again = JobRecord::unpack(r.pack(1));
     ASSERT_TRUE(again);
     EXPECT_EQ(again->spec, r.spec);
     EXPECT_EQ(again->done, r.done);
@@ -173,7 +208,7 @@
     back::set_label(beat, "node-0");
     Packer p;
     p.map(4).key("host").text("vm-1").key("tenure").count(1).key("tick").count(2).key("epoch").count(3);
-    std::vector<std::string> seeds{r.pack(), p.take(), back::pack(back::Kind::kBeat, 1, 2, beat),
+    std::vector<std::string> seeds{r.pack(1), r.pack(2), p.take(), back::pack(back::Kind::kBeat, 1, 2, beat),
                                    "(hold-s 4)(min-machines 1)"};
     std::mt19937 rng(11);
     size_t taken = 0;
--- a/tests/controller_test.cc
+++ b/tests/controller_test.cc
@@ -356,7 +356,7 @@
         r.spec.tasks = 1;
         r.spec.image = std::string(5000, 'x');
         Txn t;
-        t.expect(live_key(r.spec.id), 0).put(live_key(r.spec.id), r.pack());
+        t.expect(live_key(r.spec.id), 0).put(live_key(r.spec.id), r.pack(1));
         ASSERT_EQ(s.state.apply(t.pack()).status, 200);
     }
     s.state.down = false;
--- a/tests/lifecycle_test.cc
+++ b/tests/lifecycle_test.cc
@@ -416,7 +416,7 @@
     for (int i = 0; i < 40; ++i) hosts.push_back(&machine("vm-" + std::to_string(100 + i)));
     EXPECT_EQ(pull(hosts).size(), 80u);
     EXPECT_LE(j.pending.pieces(), 1u);
-    EXPECT_LT(j.record().pack().size(), config.value_bytes);
+    EXPECT_LT(j.record().pack(1).size(), config.value_bytes);
     settings.max_machines = 60;
     FleetInput in{config, settings, now, now, {}, {}, true, false};
     auto plan = plan_fleet(cluster, jobs, in);
--- a/tests/standins.cc
+++ b/tests/standins.cc
@@ -18,6 +18,53 @@
 
 }  // namespace
 
+std::string json_text(const std::string& packed) {
+    auto m = Message::parse(packed);
+    std::function<std::string(const msgpack::object&)> text = [&](const msgpack::object& o) -> std::string {
+        switch (o.type) {
+            case msgpack::type::NIL:
+                return "null";
+            case msgpack::type::BOOLEAN:
+                return o.via.boolean ? "true" : "false";
+            case msgpack::type::POSITIVE_INTEGER:
+                return std::to_string(o.via.u64);
+            case msgpack::type::NEGATIVE_INTEGER:
+                return std::to_string(o.via.i64);
+            case msgpack::type::FLOAT32:
+            case msgpack::type::FLOAT64:
+                return fmt::format("{}", o.via.f64);
+            case msgpack::type::STR: {
+                std::string s = "\"";
+                for (char c : std::string_view(o.via.str.ptr, o.via.str.size)) {
+                    if (static_cast<unsigned char>(c) < 0x20) {
+                        s += fmt::format("\\u{:04x}", c);
+                        continue;
+                    }
+                    if (c == '"' || c == '\\') s += '\\';
+                    s += c;
+                }
+                return s + '"';
+            }
+            case msgpack::type::ARRAY: {
+                std::string s = "[";
+                for (uint32_t i = 0; i < o.via.array.size; ++i)
+                    s += (i ? "," : "") + text(o.via.array.ptr[i]);
+                return s + ']';
+            }
+            case msgpack::type::MAP: {
+                std::string s = "{";
+                for (uint32_t i = 0; i < o.via.map.size; ++i)
+                    s += (i ? "," : "") + text(o.via.map.ptr[i].key) + ':' + text(o.via.map.ptr[i].val);
+                return s + '}';
+            }
+            default:
+                ADD_FAILURE() << "not JSON";
+                return "";
+        }
+    };
+    return m ? text(*m->root().raw()) : "";
+}
+
 std::string FakeState::query(const Request& r, const std::string& name) {
     auto at = ("&" + r.query).find("&" + name + "=");
     if (at == std::string::npos) return "";
@@ -65,6 +112,17 @@
     for (size_t i = 0; i < writes.size(); ++i) {
         uint64_t lease = writes.at(i)["mooring"].count_or(0);
         if (lease && !leases_.count(lease)) return {400, "", 0, "application/msgpack"};
+        bool large =
+            writes.at(i)["put"].present() && json_text(repack(writes.at(i)["data"])).size() > value_bytes;
+        if (large || writes.size() > txn_ops || when.size() > 4 * txn_ops ||
+            json_text(body).size() > 64 * 1024) {
+            ++invalid;
+            return {400, "", 0, "application/msgpack"};
+        }
+    }
+    if (limited > 0) {
+        --limited;
+        return {429, "", 0, "application/msgpack"};
     }
     if (!failed.empty()) {
         p.map(2).key("failed").list(failed.size());
--- a/tests/standins.h
+++ b/tests/standins.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 
+#include "base/log.h"
 #include "http/client.h"
 #include "http/server.h"
 #include "node.h"
@@ -55,6 +56,10 @@
     // transaction is kept in `late` instead.
     std::function<bool(const std::string&)> let_through;
     std::vector<std::string> late;
+    // The limits, by the JSON text of a value; what exceeds them gets 400 and counts in `invalid`.
+    size_t value_bytes = SIZE_MAX, txn_ops = SIZE_MAX;
+    int invalid = 0;
+    int limited = 0;  // so many transactions to come exceed the rate
     int puts = 0;
     void stop() { server_.stop(); }
 
@@ -97,6 +102,9 @@
     HttpServer server_;
 };
 
+// The JSON text of a packed value, as short as can be.
+std::string json_text(const std::string& packed);
+
 // A worker's side of the protocol, driven by the test.
 struct FakeWorker {
     std::string name = "vm-000001", addr = "127.0.0.1:9", flavor = "g2", zone = "a";
--- /dev/null
+++ b/tests/upgrade_test.cc
@@ -0,0 +1,499 @@
+// Beside the production version and under the state service's later limits: what is written when, that it
+// fits, and that no task is lost on the way.
+#include <algorithm>
+#include <random>
+#include <set>
+
+#include "base/constants.h"
+#include "jobs/compact.h"
+#include "standins.h"
+
+using namespace hareshore;
+using namespace hareshore::test;
+
+namespace {
+
+// Packed by JobRecord::pack() and FinalRecord::pack() of commit 64db79f, the version in production, built and
+// run for this purpose with the record that production_record() describes.
+const char* kRecordBytes =
+    "de001aa26964aa6a6f622d303030343132a5636c617373a5747261696ea47465616da6766973696f6ea5736861706500a472616e"
+    "6b02a57461736b7310a46370757308a46770757301a36d656d40a5696d616765a6696d672d3037a8696d6167655f6762cb4018cc"
+    "cccccccccda7666c61766f727392a26738a26732a47a6f6e65a67a6f6e652061a86f6e655f7a6f6e65c3a56170617274c2a47370"
+    "6f74c3aa657374696d6174655f73ccf0ac636865636b706f696e745f731ea6736176655f7304a56475655f73cd0384a26174cb41"
+    "dac3e33c880000a977697468647261776ec2a4646f6e65aa302d322c352c392d3130a46e65787415a46c69766592b43320382076"
+    "6d2d303030303033207a6f6e652061b53420323020766d2d303030323331207a6f6e652061a17601";
+const char* kFinalBytes = "84a26964aa6a6f622d303030343132a977697468647261776ec3a57461736b7310a4646f6e6506";
+
+std::string from_hex(std::string_view hex) {
+    std::string out;
+    for (size_t i = 0; i + 1 < hex.size(); i += 2)
+        out += static_cast<char>(std::stoi(std::string(hex.substr(i, 2)), nullptr, 16));
+    return out;
+}
+
+JobRecord production_record() {
+    JobRecord r;
+    r.spec.id = "job-000412";
+    r.spec.job_class = "train";
+    r.spec.team = "vision";
+    r.spec.rank = Rank::kHigh;
+    r.spec.tasks = 16;
+    r.spec.cpus = 8;
+    r.spec.gpus = 1;
+    r.spec.memory_gb = 64;
+    r.spec.image = "img-07";
+    r.spec.image_gb = 6.2;
+    r.spec.flavors = {"g8", "g2"};
+    r.spec.zone = "zone a";
+    r.spec.one_zone = true;
+    r.spec.spot = true;
+    r.spec.estimate_s = 240;
+    r.spec.checkpoint_s = 30;
+    r.spec.save_s = 4;
+    r.spec.due_s = 900;
+    r.accepted_wall = 1796181234.125;
+    for (uint32_t n : {0u, 1u, 2u, 5u, 9u, 10u}) r.done.add(n);
+    r.next_attempt = 21;
+    r.live[3] = {8, "vm-000003", "zone a"};
+    r.live[4] = {20, "vm-000231", "zone a"};
+    return r;
+}
+
+bool same(const JobRecord& a, const JobRecord& b) {
+    auto bound = [](const auto& x, const auto& y) {
+        return x.first == y.first && x.second.attempt == y.second.attempt && x.second.host == y.second.host &&
+               x.second.zone == y.second.zone;
+    };
+    return a.spec == b.spec && a.done == b.done && a.withdrawn == b.withdrawn &&
+           a.next_attempt == b.next_attempt && a.accepted_wall == b.accepted_wall &&
+           std::equal(a.live.begin(), a.live.end(), b.live.begin(), b.live.end(), bound);
+}
+
+std::string machine_name(uint32_t n) {
+    return fmt::format("vm-{:06}", n);
+}
+
+// An array whose tasks are all on machines, as the production version wrote it before the upgrade.
+JobRecord large_record(const std::string& id, uint32_t tasks, uint32_t machines) {
+    JobRecord r = production_record();
+    r.spec.id = id;
+    r.spec.team = "team";
+    r.spec.zone = "";
+    r.spec.one_zone = false;
+    r.spec.flavors = {};
+    r.spec.cpus = r.spec.memory_gb = 0.01;
+    r.spec.gpus = 0;
+    r.spec.tasks = tasks;
+    r.done = {};
+    r.live.clear();
+    r.next_attempt = tasks + 1;
+    for (uint32_t n = 0; n < tasks; ++n)
+        r.live[n] = {n + 1, machine_name(231 + n % machines), n % machines % 2 ? "b" : "a"};
+    return r;
+}
+
+void keep(Site& s, const std::string& key, std::string data) {
+    Txn t;
+    t.expect(key, 0).put(key, std::move(data));
+    ASSERT_EQ(s.state.apply(t.pack()).status, 200);
+}
+
+std::vector<FakeWorker> workers_of(const JobRecord& r) {
+    std::map<std::string, FakeWorker> by_name;
+    for (const auto& [task, b] : r.live) {
+        FakeWorker& w = by_name[b.host];
+        w.name = b.host;
+        w.zone = b.zone;
+        w.tasks.push_back({{r.spec.id, task}, b.attempt, TaskPhase::kRunning, ExitCause::kNone, false});
+    }
+    std::vector<FakeWorker> out;
+    for (auto& [name, w] : by_name) out.push_back(std::move(w));
+    return out;
+}
+
+uint64_t form_of(Site& s, const std::string& key) {
+    return Message::parse(s.state.rows.at(key).data)->root()["v"].count_or(0);
+}
+
+std::string phase_of(const Answer& a) {
+    auto m = Message::parse(a.body);
+    return m ? m->root()["phase"].text_or("") : "";
+}
+
+// A deployment under the limits that the state service will have: the service enforces them at once.
+void lower_limits(Site& s, size_t value_bytes, size_t txn_ops) {
+    for (auto& c : s.configs) {
+        c.next_value_bytes = value_bytes;
+        c.txn_ops = std::min(c.txn_ops, txn_ops);
+        c.write_rps = std::min(c.write_rps, 15.0);
+    }
+    s.state.value_bytes = value_bytes;
+    s.state.txn_ops = txn_ops;
+}
+
+}  // namespace
+
+TEST(Form1, IsWhatTheProductionVersionWritesAndReads) {
+    std::string bytes = from_hex(kRecordBytes);
+    auto read = JobRecord::unpack(bytes);
+    ASSERT_TRUE(read);
+    EXPECT_TRUE(same(*read, production_record()));
+    EXPECT_EQ(read->pack(1), bytes);
+    std::string final = from_hex(kFinalBytes);
+    auto end = FinalRecord::unpack(final);
+    ASSERT_TRUE(end);
+    EXPECT_TRUE(end->withdrawn);
+    EXPECT_EQ(end->done, 6u);
+    EXPECT_EQ(end->pack(), final);
+}
+
+TEST(Form2, HoldsWhatForm1Holds) {
+    std::mt19937 rng(5);
+    auto below = [&](uint32_t n) { return static_cast<uint32_t>(rng() % n); };
+    for (int i = 0; i < 400; ++i) {
+        JobRecord r = production_record();
+        r.spec.tasks = 1 + below(i % 3 ? 300 : 100'000);
+        r.done = {};
+        r.live.clear();
+        r.next_attempt = 1 + below(1'000'000);
+        uint32_t density = 1 + below(9);
+        for (uint32_t n = 0; n < std::min(r.spec.tasks, 200u); ++n) {
+            if (below(10) < density) r.done.add(below(r.spec.tasks));
+            uint32_t task = below(r.spec.tasks);
+            std::string host = machine_name(below(2000));
+            if (below(20) == 0) host = i % 2 ? "metal" : "rack-" + std::to_string(below(40)) + "-x";
+            if (below(30) == 0) host = "vm-" + std::to_string(1u << below(31)) + "0000000";
+            if (below(3) == 0 && !r.done.has(task))
+                r.live[task] = {1 + below(static_cast<uint32_t>(r.next_attempt)), host,
+                                below(2) ? "a" : "é\"b"};
+        }
+        std::string packed = r.pack(2);
+        auto again = JobRecord::unpack(packed);
+        ASSERT_TRUE(again);
+        EXPECT_TRUE(same(*again, r));
+        EXPECT_FALSE(newer_form(packed));
+        EXPECT_GE(json_size(packed), json_text(packed).size()) << "counted at most, never at least";
+        EXPECT_GE(json_size(r.pack(1)), json_text(r.pack(1)).size());
+        // A reader of form 1 must not take its tasks for free: it cannot read the done ranges.
+        auto text = Message::parse(packed)->root()["done"].text();
+        EXPECT_FALSE(Ranges::parse(*text, r.spec.tasks));
+    }
+}
+
+TEST(Form2, HoldsAnArraySpreadOverAFleetInTwoKibibytes) {
+    std::mt19937 rng(6);
+    size_t most = 0;
+    for (int i = 0; i < 200; ++i) {
+        JobRecord r = large_record("job-738642", 150, 1);
+        r.spec.job_class = "etiqueta-scan";
+        r.spec.team = "equipo-vision";
+        r.spec.image = "img-etiqueta-scan-07";
+        r.spec.image_gb = 5.123456789012345;
+        r.next_attempt = 2000;
+        for (auto& [task, b] : r.live)
+            b = {1 + rng() % 2000, machine_name(static_cast<uint32_t>(rng() % 3000)),
+                 rng() % 2 ? "lujan-zone" : "uco-zone"};
+        most = std::max(most, json_size(r.pack(2)));
+    }
+    EXPECT_LE(most, 2048u);
+}
+
+TEST(Form2, RefusesWhatItWouldNotWrite) {
+    for (const char* bad : {"", "A", "=A", "=AAAA", "=gA", "=gAA", "=*A", "=_", "=AAAAB", "=9999999999999A"})
+        EXPECT_FALSE(parse_compact_ranges(bad, 60)) << bad;
+    EXPECT_TRUE(parse_compact_ranges("=", 60));
+    auto live = [](std::string text, std::vector<std::string> zones = {"a"},
+                   std::vector<std::string> names = {"6vm-"}) {
+        return parse_compact_live({std::move(zones), std::move(names), std::move(text)}, 8).has_value();
+    };
+    EXPECT_TRUE(live("BAAC"));
+    EXPECT_FALSE(live("BAAC", {})) << "no zone";
+    EXPECT_FALSE(live("BAAC", {"a"}, {})) << "left over";
+    EXPECT_FALSE(live("BAA")) << "cut short";
+    EXPECT_FALSE(live("CAACBAA")) << "the same task twice";
+    EXPECT_FALSE(live("BAgBC")) << "no such task";
+    EXPECT_FALSE(live("BABC")) << "a negative task";
+    EXPECT_FALSE(live("BAAB")) << "a negative attempt";
+    EXPECT_FALSE(live("BBAC", {"a"}, {"0metal"})) << "a number where the name has none";
+    EXPECT_FALSE(live("B-----BAC", {"a"}, {"2vm-"})) << "more digits than the name has";
+    EXPECT_FALSE(live("A", {"a"}, {"6vm-"})) << "an entry without placements";
+}
+
+// However large a job is and however its tasks come and go, its record fits, and it goes on until it is done.
+TEST(Form2, AJobOfAnySizeFitsItsRecordAndIsDoneInTheEnd) {
+    for (uint32_t tasks : {30u, 1000u, 1025u, 100'000u}) {
+        std::mt19937 rng(tasks);
+        Config config;
+        config.value_bytes = 8192;
+        config.next_value_bytes = 2048;
+        JobTable jobs;
+        Cluster cluster;
+        JobRecord r = large_record("job-1", 1, 1);
+        r.spec.tasks = tasks;
+        r.live.clear();
+        r.next_attempt = 1;
+        // Of the largest, the last part; what came before is one range.
+        for (uint32_t n = 0; n + 10'000 < tasks; ++n) r.done.add(n);
+        Job& j = jobs.load(r, 5, 0, 0);
+        size_t most_live = 0, steps = 0;
+        std::vector<Host> hosts(600);
+        for (auto& h : hosts) {
+            h.name = machine_name(static_cast<uint32_t>(rng() % 100'000));
+            h.zone = rng() % 2 ? "lujan-zone" : "uco-zone";
+        }
+        hosts[0].name = "a machine whose name follows no pattern at all";
+        uint64_t form = 1;
+        while (!j.over() && steps < 400'000) {
+            ++steps;
+            if (steps == 3000) form = 2;
+            auto choice = rng() % 10;
+            const Host* h = &hosts[rng() % hosts.size()];
+            const Host* on[] = {h};
+            if (choice < 7 && !j.pending.empty() && j.room_in_record(config, form, on)) {
+                jobs.bind(j, *j.pending.first(), *h, j.next_attempt++, 0);
+            } else if (j.live.empty()) {
+                // Nothing runs: then one task at least may start, wherever.
+                ASSERT_TRUE(j.room_in_record(config, form, on)) << steps << ' ' << j.record_bytes(2);
+                continue;
+            } else {
+                // One ends, done more often than not, or a machine goes with all that is on it.
+                auto it = std::next(j.live.begin(), static_cast<long>(rng() % j.live.size()));
+                std::string host = it->second.host;
+                if (choice < 9 && (tasks < 2000 || steps % 400 != 0)) {
+                    Host& x = cluster.ensure(host, 0);
+                    Report report;
+                    report.host = host;
+                    report.seq = x.seq + 1;
+                    report.tasks = {{{"job-1", it->first},
+                                     it->second.attempt,
+                                     TaskPhase::kExited,
+                                     rng() % 4 ? ExitCause::kDone : ExitCause::kStopped,
+                                     false}};
+                    jobs.apply(cluster, x, report, false, 0);
+                } else {
+                    jobs.host_gone(host, 0);
+                }
+            }
+            most_live = std::max(most_live, j.live.size());
+            if (tasks > 2000 && steps % 97 != 0) continue;  // each step costs as long as the record
+            JobRecord now = j.record();
+            ASSERT_LE(json_text(now.pack(2)).size(), 2048u) << steps;
+            if (form == 1) {
+                ASSERT_LE(json_text(now.pack(1)).size(), 8192u);
+            }
+            ASSERT_LE(json_size(now.pack(2)), j.record_bytes(2) + 16);
+        }
+        EXPECT_TRUE(j.over()) << tasks << " tasks, " << j.done.size() << " done";
+        if (tasks > 200) {
+            EXPECT_GE(most_live, 100u) << tasks;
+        }
+    }
+}
+
+// Until every sibling is known to run this version, records are written as the production version reads them.
+TEST(Upgrade, WritesTheOldFormWhileASiblingMayBeOld) {
+    Site s(2);
+    s.start(0);
+    ASSERT_TRUE(s.until([&] { return s.leader() == 0; }));
+    s.run(10);
+    EXPECT_EQ(s.state.rows.count("form"), 0u);
+    ASSERT_EQ(s.call(0, "POST", "/v2/runs", job_body("job-1")).status, 201);
+    EXPECT_EQ(form_of(s, "j/job-1"), 1u);
+    FakeWorker w;
+    s.settle(w);
+    s.hello(w, 0);
+    ASSERT_TRUE(w.find("job-1/0"));
+    EXPECT_EQ(form_of(s, "j/job-1"), 1u);
+    EXPECT_TRUE(Message::parse(s.state.rows.at("j/job-1").data)->root()["live"].is_list());
+    // A follower that does not know the form in force asks for it, and writes it once it is there.
+    keep(s, "form", pack_form(2));
+    s.run(5);
+    ASSERT_EQ(s.call(0, "POST", "/v2/runs/job-1/withdraw").status, 200);
+    EXPECT_EQ(form_of(s, "j/job-1"), 2u);
+    auto record = JobRecord::unpack(s.state.rows.at("j/job-1").data);
+    ASSERT_TRUE(record);
+    EXPECT_EQ(record->live.size(), 1u) << "it is still on its machine";
+}
+
+TEST(Upgrade, ALeaderWithoutOldSiblingsPutsTheFormOnceAndStaysWithIt) {
+    Site s;
+    s.start(0);
+    ASSERT_TRUE(s.until([&] { return s.state.rows.count("form") == 1; }));
+    uint64_t stamp = s.state.rows.at("form").stamp;
+    EXPECT_EQ(unpack_form(s.state.rows.at("form").data), 2u);
+    s.run(1);
+    ASSERT_EQ(s.call(0, "POST", "/v2/runs", job_body("job-1")).status, 201);
+    EXPECT_EQ(form_of(s, "j/job-1"), 2u);
+    s.kill(0);
+    s.start(0);
+    ASSERT_TRUE(s.until([&] { return s.leader() == 0; }));
+    s.run(5);
+    EXPECT_EQ(s.state.rows.at("form").stamp, stamp);
+}
+
+// What the production version kept in more than the later limits allow is read, and each change of it fits:
+// ends of tasks, a withdrawal, and its end in one transaction.
+TEST(Upgrade, TakesOverLargeRecordsUnderTheLowerLimits) {
+    for (size_t ops : {2u, 4u}) {
+        Site s;
+        JobRecord ended = large_record("job-1", 150, 12), withdrawn = large_record("job-2", 150, 10);
+        for (auto& [task, b] : withdrawn.live) b.host = "vm-0009" + b.host.substr(7);
+        ASSERT_GT(json_text(ended.pack(1)).size(), 2048u);
+        keep(s, "j/job-1", ended.pack(1));
+        keep(s, "j/job-2", withdrawn.pack(1));
+        lower_limits(s, 2048, ops);
+        s.start(0);
+        ASSERT_TRUE(s.until([&] { return s.leader() == 0; }));
+        s.run(2);
+        EXPECT_EQ(form_of(s, "j/job-1"), 1u) << "its next change replaces it, nothing before";
+        auto one = workers_of(ended), two = workers_of(withdrawn);
+        for (auto& w : one) s.settle(w);
+        for (auto& w : two) s.settle(w);
+        for (const auto& w : one)
+            for (const auto& t : w.tasks) EXPECT_EQ(t.phase, TaskPhase::kRunning) << t.name.text();
+        ASSERT_EQ(phase_of(s.call(0, "POST", "/v2/runs/job-2/withdraw")), "withdrawn");
+        EXPECT_EQ(form_of(s, "j/job-2"), 2u);
+        EXPECT_EQ(JobRecord::unpack(s.state.rows.at("j/job-2").data)->live.size(), 150u)
+            << "none is free yet";
+        // Every second task ends first: the done ranges are as long as they can be.
+        for (uint32_t odd : {1u, 0u}) {
+            for (auto& w : one) {
+                for (auto& t : w.tasks) {
+                    if (t.name.task % 2 != odd) continue;
+                    t.phase = TaskPhase::kExited;
+                    t.cause = ExitCause::kDone;
+                }
+                s.hello(w, 0);
+            }
+            s.run(2);
+            if (odd) {
+                EXPECT_EQ(form_of(s, "j/job-1"), 2u);
+                EXPECT_EQ(JobRecord::unpack(s.state.rows.at("j/job-1").data)->done.size(), 75u);
+            }
+        }
+        for (int i = 0; i < 3; ++i)
+            for (auto& w : two) s.hello(w, 0);
+        s.run(2);
+        EXPECT_EQ(phase_of(s.call(0, "GET", "/v2/runs/job-1")), "done");
+        EXPECT_EQ(phase_of(s.call(0, "GET", "/v2/runs/job-2")), "withdrawn");
+        EXPECT_EQ(s.state.rows.count("j/job-1") + s.state.rows.count("j/job-2"), 0u);
+        EXPECT_EQ(s.state.invalid, 0) << "nothing was sent that exceeds a limit";
+    }
+}
+
+// A refusal for what a transaction is: sent once, not again until the record has changed, and no other job
+// waits.
+TEST(Upgrade, ARefusedRecordIsNotSentAgainAndHoldsUpNoOther) {
+    Site s;
+    s.start(0);
+    ASSERT_TRUE(s.until([&] { return s.state.rows.count("form") == 1; }));
+    s.run(1);
+    std::string team(100, 't');
+    ASSERT_EQ(s.call(0, "POST", "/v2/runs", job_body("job-1")).status, 201);
+    auto text = [](const std::string& x) { return Packer().text(x).take(); };
+    ASSERT_EQ(
+        s.call(0, "POST", "/v2/runs", job_body("job-2", [&](auto& f) { f["jobclass"] = text(team); })).status,
+        201);
+    s.run(1);
+    // The service is stricter than any settings said.
+    s.state.value_bytes = json_text(s.state.rows.at("j/job-2").data).size();
+    FakeWorker w;
+    s.settle(w);
+    s.hello(w, 0);
+    s.hello(w, 0);
+    s.run(10);
+    EXPECT_TRUE(w.find("job-1/0"));
+    EXPECT_FALSE(w.find("job-2/0")) << "not committed, so not launched";
+    EXPECT_GE(s.state.invalid, 1);
+    EXPECT_LE(s.state.invalid, 2) << "in a batch, and once by itself";
+    int before = s.state.invalid;
+    s.run(20);
+    EXPECT_EQ(s.state.invalid, before);
+    EXPECT_EQ(phase_of(s.call(0, "GET", "/v2/runs/job-2")), "pending");
+}
+
+TEST(Upgrade, RefusesADescriptionThatNoRecordCouldHold) {
+    Site s;
+    // Accepted by an earlier version: it stays known.
+    JobRecord known = production_record();
+    known.spec.id = "job-9";
+    known.spec.flavors.assign(40, std::string(100, 'x'));
+    keep(s, "j/job-9", known.pack(1));
+    lower_limits(s, 2048, 4);
+    s.start(0);
+    ASSERT_TRUE(s.until([&] { return s.state.rows.count("form") == 1; }));
+    s.run(1);
+    auto long_list = [](auto& f) {
+        Packer p;
+        p.list(64).text("g2");
+        for (int i = 1; i < 64; ++i) p.text(std::string(126, 'x') + std::to_string(10 + i));
+        f["flavors"] = p.take();
+    };
+    Answer a = s.call(0, "POST", "/v2/runs", job_body("job-1", long_list));
+    EXPECT_EQ(a.status, 400);
+    EXPECT_NE(a.body.find("description"), std::string::npos);
+    EXPECT_EQ(s.call(0, "GET", "/v2/runs/job-1").status, 404);
+    EXPECT_EQ(s.call(0, "POST", "/v2/runs", job_body("job-9", long_list)).status, 200);
+    EXPECT_EQ(s.state.invalid, 0);
+}
+
+// Users' writes and the leader's share the rate: a user is not sent away for a moment's crowd.
+TEST(Upgrade, AUsersWriteWaitsOutAnExceededRate) {
+    Site s;
+    s.start(0);
+    ASSERT_TRUE(s.until([&] { return s.state.rows.count("form") == 1; }));
+    s.run(1);
+    s.state.limited = 2;
+    Seconds began = s.loop.now();
+    EXPECT_EQ(s.call(0, "POST", "/v2/runs", job_body("job-1")).status, 201);
+    EXPECT_LT(s.loop.now() - began, 1.2);
+    s.state.limited = 1;
+    EXPECT_EQ(phase_of(s.call(0, "POST", "/v2/runs/job-1/withdraw")), "withdrawn");
+    s.state.limited = 1000;
+    EXPECT_EQ(s.call(0, "POST", "/v2/runs", job_body("job-2")).status, 503) << "but not for ever";
+    EXPECT_LT(s.loop.now() - began, 8);
+}
+
+// A record of a later version: its tasks are left alone, its machine gets nothing, its user is asked to come
+// again.
+TEST(Upgrade, DecidesNothingOnARecordOfANewerForm) {
+    Site s;
+    JobRecord r = large_record("job-7", 1, 1);
+    std::string packed = r.pack(2);
+    packed.back() = 3;  // "v", packed last
+    ASSERT_TRUE(newer_form(packed));
+    keep(s, "j/job-7", packed);
+    s.start(0);
+    ASSERT_TRUE(s.until([&] { return s.leader() == 0; }));
+    s.run(1);
+    FakeWorker w;
+    w.name = r.live.at(0).host;
+    w.tasks = {{{"job-7", 0}, 1, TaskPhase::kRunning, ExitCause::kNone, false},
+               {{"job-7", 5}, 9, TaskPhase::kExited, ExitCause::kDone, false}};
+    s.settle(w);
+    EXPECT_EQ(s.call(0, "GET", "/v2/runs/job-7").status, 503);
+    EXPECT_EQ(s.call(0, "POST", "/v2/runs/job-7/withdraw").status, 503);
+    EXPECT_EQ(s.call(0, "POST", "/v2/runs", job_body("job-7")).status, 503);
+    EXPECT_EQ(s.call(0, "POST", "/v2/runs", job_body("job-8")).status, 201);
+    for (int i = 0; i < 3; ++i) s.hello(w, 0);
+    EXPECT_EQ(w.tasks.size(), 2u) << "neither forgotten";
+    EXPECT_EQ(w.find("job-7/0")->phase, TaskPhase::kRunning) << "nor halted";
+    EXPECT_EQ(s.state.rows.at("j/job-7").data, packed);
+    FakeWorker other;
+    s.settle(other);
+    s.hello(other, 0);
+    EXPECT_TRUE(other.find("job-8/0")) << "the others are served";
+}
+
+TEST(Upgrade, DoesNotLeadOverANewerForm) {
+    for (const std::string& kept : {pack_form(3), Packer().text("not a form").take()}) {
+        Site s;
+        keep(s, "form", kept);
+        s.start(0);
+        s.run(10);
+        EXPECT_EQ(s.leader(), -1);
+        EXPECT_EQ(s.state.rows.count("leader"), 0u);
+        EXPECT_EQ(s.call(0, "GET", "/ready").status, 503);
+        EXPECT_EQ(s.call(0, "POST", "/v2/runs", job_body("job-1")).status, 503);
+    }
+}
