--- a/src/node.h
+++ b/src/node.h
@@ -23,8 +23,6 @@
     Task<void> follow_election();
     Task<void> learn_flavors();
     Task<void> follow_form();
-    // Whether every sibling has said that it knows the newest form of records.
-    bool all_upgraded() const;
     Task<Response> hello(std::string body);
     Task<Response> relayed(std::string body);
     Response operator_page(const std::string& path);
@@ -32,6 +30,9 @@
     void resign_if_cut_off();
     back::Beat beat() const;
     Seconds vouched(Seconds since) const;
+    void told_withdrawn(const std::string& id);
+    // Whether every sibling has said that it knows the forms of this version.
+    bool all_upgraded() const;
 
     Loop& loop_;
     const Config& config_;
--- a/src/users/service.h
+++ b/src/users/service.h
@@ -1,6 +1,7 @@
 // The users' requests. Any node serves them; what it answers is committed or read from the state service.
 #pragma once
 #include <deque>
+#include <functional>
 #include <set>
 #include <unordered_map>
 
@@ -12,8 +13,10 @@
 
 class UserService {
   public:
+    // Called before a user is told that the job is withdrawn.
+    using Telling = std::function<void(const std::string&)>;
     UserService(Loop& loop, const Config& config, StateService& state, const std::vector<Flavor>& flavors,
-                const Form& form);
+                const Form& form, Telling telling);
     // The path begins with /v2/runs.
     Task<Response> handle(const Request& request);
     // When a user was last told of a withdrawal here, or when this process began.
@@ -45,6 +48,7 @@
     StateService& state_;
     const std::vector<Flavor>& flavors_;
     const Form& form_;
+    Telling telling_;
     size_t busy_ = 0;
     size_t most_busy_;
     Seconds last_withdrawal_;
