Answer a user's write beyond the state service's rate at once

Cause: it was tried again for as long as its user waits. The users ask that what can't be taken now is answered at once, with Retry-After, and never held.

--- a/src/users/service.cc
+++ b/src/users/service.cc
@@ -158,7 +158,7 @@
     Txn txn;
     txn.expect(live_key(spec.id), 0).expect(final_key(spec.id), 0);
     txn.put(live_key(spec.id), record.pack(form_.in_force()));
-    TxnResult r = co_await commit(std::move(txn), until);
+    TxnResult r = co_await state_.commit(std::move(txn), constants::kStateCall_s);
     if (r.reply == Reply::kOk) {
         log::debug("job {} accepted, class {}, {} tasks, image {}, team {}", spec.id, spec.job_class,
                    spec.tasks, spec.image, spec.team);
@@ -168,20 +168,12 @@
         Known k = co_await read(spec.id, until);
         if (k.reply == Reply::kOk) co_return told(spec.id, k, false);
     }
+    // At the service's rate the user is told at once when to come back, rather than held.
+    if (r.reply == Reply::kLimited) co_return unavailable(429);
     if (r.reply == Reply::kRefused) co_return unavailable(503, constants::kRetryAfterOutage_s);
     co_return unavailable();
 }
 
-Task<TxnResult> UserService::commit(Txn txn, Seconds until) {
-    Seconds pause = constants::kRetryPause_s;
-    while (true) {
-        TxnResult r = co_await state_.commit(txn, constants::kStateCall_s);
-        if (r.reply != Reply::kLimited || loop_.now() + pause > until) co_return r;
-        co_await loop_.sleep(pause);
-        pause = std::min(pause * 2, constants::kRetryPauseMax_s / 2);
-    }
-}
-
 std::string UserService::never_recorded(const JobRecord& record) const {
     // All tasks of a gang are in its record at once. An array's or a service's start as its room allows, one
     // at a time if need be.
@@ -222,12 +214,13 @@
         }
         Txn txn;
         txn.expect(live_key(id), k.stamp).put(live_key(id), std::move(data));
-        TxnResult r = co_await commit(std::move(txn), until);
+        TxnResult r = co_await state_.commit(std::move(txn), constants::kStateCall_s);
         if (r.reply == Reply::kOk) {
             k.phase = JobPhase::kWithdrawn;
             log::info("job {} withdrawn by its user", id);
             co_return told(id, k, false);
         }
+        if (r.reply == Reply::kLimited) co_return unavailable(429);
         if (r.reply != Reply::kConflict) co_return unavailable();
         // The leader wrote in between: read again.
     }
--- a/src/users/service.h
+++ b/src/users/service.h
@@ -35,8 +35,6 @@
     Task<Response> query(std::string id);
     Task<Response> withdraw(std::string id);
     Task<Known> read(std::string id, Seconds until);
-    // Commits; an exceeded rate is waited out, since users go before the leader's own writes.
-    Task<TxnResult> commit(Txn txn, Seconds until);
     // Why the job's record could not be written under the limits of the state service, now or later.
     std::string never_recorded(const JobRecord& record) const;
     bool state_away() const;
