Hold busy machines' reports for a second while there are services

The wait for a holder of the image, up to the time of the fetch, came on top of the fetch.

Changed: while there are services, the report of a machine on which all runs as it should and which has room for a replica is held for up to 1 s, so that of those that report every 5 s a sixth can be told at once. A machine with something to tell or to be told is answered as before. How much a replica puts up with for its spread grows by one replica each half second; it waits for its image's holder for half of the fetch's time.

--- a/src/base/constants.h
+++ b/src/base/constants.h
@@ -144,8 +144,13 @@
 inline constexpr size_t kReplicaTries = 2;        // ends at once that are followed by a start without pause
 inline constexpr double kReplicaBackoff_s = 1.0;  // then the first pause, doubled up to
 inline constexpr double kReplicaBackoffMax_s = 60.0;  //   this: each start costs writes
-inline constexpr double kSpreadWait_s = 1.0;  // a replica waits this long for a machine that would be lost
-                                              // without taking others of its job
+inline constexpr double kSpreadWait_s = 0.5;  // a replica waits this long for a machine with one fewer of its
+                                              // job's replicas, so that one loss takes few
+inline constexpr double kHoldBusy_s =
+    1.0;  // while there are services, busy machines' reports are held so
+          // long: of those that report every 5 s a sixth can be told at once
+inline constexpr double kImageHoldShare = 0.5;  // a replica waits for its image's holder for this share of
+                                                // the time that the fetch takes
 
 // --- operator page ----------------------------------------------------------------------------------
 inline constexpr double kWhyLog_s = 15.0;  // a waiting job's reason is logged at most this often
--- a/src/jobs/table.cc
+++ b/src/jobs/table.cc
@@ -557,6 +557,14 @@
     return false;
 }
 
+bool JobTable::settled_on(const Host& host) const {
+    auto running = [](const HostTask& t) { return t.phase == TaskPhase::kRunning; };
+    auto meant = [](const Resident& r) { return r.placement->seen && !r.placement->stopping; };
+    const auto& here = on_host(host.name);
+    return here.size() == host.tasks.size() && std::all_of(host.tasks.begin(), host.tasks.end(), running) &&
+           std::all_of(here.begin(), here.end(), meant);
+}
+
 std::vector<Order> JobTable::orders(Host& host, bool launches) {
     std::vector<Order> out;
     std::set<std::pair<TaskName, uint64_t>> present;
--- a/src/jobs/table.h
+++ b/src/jobs/table.h
@@ -147,6 +147,8 @@
     std::set<std::string> take_urgent() { return std::exchange(urgent_, {}); }
     // Whether the machine has placements that wait for their commit.
     bool awaits_commit(const Host& host) const;
+    // Whether there is nothing to tell the machine: all that it has runs, and is meant to.
+    bool settled_on(const Host& host) const;
     // The placements on the machine, kept up to date by bind and release; to be copied where those are
     // called.
     const std::vector<Resident>& on_host(const std::string& host) const;
--- a/src/lead/leader.cc
+++ b/src/lead/leader.cc
@@ -316,6 +316,10 @@
             until = commit_until;
         } else if (h->usable && h->idle()) {
             until = began + hold;
+        } else if (h->usable && replica_ && h->free.holds(*replica_) && jobs_.settled_on(*h)) {
+            // A replica that comes or is lost does not wait for the next report. Not for long: changes on the
+            // machine are told in its next report, which does not go out before this is answered.
+            until = began + std::min(hold, constants::kHoldBusy_s);
         }
         if (loop_.now() >= until) break;
         Held held{*this, name};
@@ -376,6 +380,15 @@
 void Leader::step() {
     if (!loaded_ || stopped_) return;
     cluster_.recount(jobs_, loop_.now(), constants::kFreshReports * config_.report_s);
+    replica_.reset();
+    for (const auto& [id, j] : jobs_.all()) {
+        if (!j->spec.service() || j->withdrawn) continue;
+        Amount a = Amount::of(j->spec);
+        if (replica_)
+            a = {std::min(a.cpus, replica_->cpus), std::min(a.gpus, replica_->gpus),
+                 std::min(a.memory_gb, replica_->memory_gb)};
+        replica_ = a;
+    }
     MatchInput in{config_, settings_, loop_.now(), {}};
     for (auto& [name, h] : cluster_.hosts)
         if (h->holding) in.askers.push_back(h.get());
--- a/src/lead/leader.h
+++ b/src/lead/leader.h
@@ -121,7 +121,8 @@
         double booting = 0, idle = 0, unused = 0, starting = 0, running = 0;
     } spent_;
     Bucket writes_;
-    bool wanted_ = false;  // a round of matching is wanted
+    std::optional<Amount> replica_;  // what no replica of a service asks less than; none without services
+    bool wanted_ = false;            // a round of matching is wanted
     uint64_t rounds_ = 0;
     Seconds next_round_ = -1e9, longest_round_ = 0;
     Signal ready_, dirty_, ask_, round_done_;
--- a/src/match/match.cc
+++ b/src/match/match.cc
@@ -271,8 +271,7 @@
                 job.why = Wait::kHeldForImage;
                 continue;
             }
-            if (job.spec.service() && in_.now - job.waiting_since < constants::kSpreadWait_s &&
-                spreads_better(job, h)) {
+            if (job.spec.service() && spreads_better(job, h)) {
                 job.why = Wait::kHeldForSpread;
                 continue;
             }
@@ -295,25 +294,27 @@
         if (!job.spec.service()) return holders(job, asker, 1) > 0;
         const Flavor* f = cluster_.flavor(asker.flavor);
         Seconds fetch = f && f->fetch_gb_per_s > 0 ? job.spec.image_gb / f->fetch_gb_per_s : 0;
-        if (waited >= fetch) return false;
+        if (waited >= constants::kImageHoldShare * fetch) return false;
         return static_cast<double>(holders(job, asker, UINT32_MAX)) * fetch > in_.config.report_s;
     }
 
     // How much would be lost with the machine of what the job has elsewhere already: its replicas there, and
     // one that is too many on spot machines, which are taken back in waves.
-    static std::pair<bool, size_t> crowding(const Job& job, const Host& h, size_t spot) {
+    static size_t crowding(const Job& job, const Host& h, size_t spot) {
         auto here = std::count_if(job.live.begin(), job.live.end(),
                                   [&](const auto& l) { return l.second.host == h.name; });
-        return {h.spot && 2 * (spot + 1) > job.spec.tasks, static_cast<size_t>(here)};
+        return static_cast<size_t>(here) + (h.spot && 2 * (spot + 1) > job.spec.tasks ? 1 : 0);
     }
 
-    // Whether a machine that has room would be a better place for a replica than the one that asks.
+    // Whether a machine that has room would be a better place for a replica than the one that asks. The
+    // longer it waits the more it puts up with: one that asks is better than one that may ask.
     bool spreads_better(const Job& job, const Host& asker) {
         size_t spot = 0;
         for (const auto& [task, p] : job.live)
             if (const Host* h = cluster_.host(p.host); h && h->spot) ++spot;
-        auto mine = crowding(job, asker, spot);
-        if (mine == std::pair<bool, size_t>{}) return false;
+        auto put_up_with = static_cast<size_t>((in_.now - job.waiting_since) / constants::kSpreadWait_s);
+        size_t mine = crowding(job, asker, spot);
+        if (mine <= put_up_with) return false;
         ZoneRule rule(job);
         count(usable_.size());
         return std::any_of(usable_.begin(), usable_.end(), [&](const Host* h) {
