--- a/tests/service_test.cc
+++ b/tests/service_test.cc
@@ -211,11 +211,33 @@
     add(g);
     pull({&h});
     EXPECT_EQ(stopping(j), 0u);
-    // Nor does it come free by itself, however long it has run: its estimate of 0 says nothing.
-    now += 10000;
-    g.id = "job-3";
-    g.rank = Rank::kIdle;
-    EXPECT_EQ(plan().rent.size(), 1u) << "the waiting gang needs a machine of its own";
+}
+
+// Nor is it expected to come free by itself, whatever its user gave as an estimate.
+TEST_F(Service, IsNoRoomToCountOn) {
+    Host &x = machine("vm-1"), &y = machine("vm-2");
+    JobSpec s = service("job-1", 1);
+    s.cpus = 16;
+    s.estimate_s = 30;
+    add(s);
+    ASSERT_EQ(started({&x}), 1u);
+    now += 25;
+    reported(x);
+    // An array that waits is not put off until a replica ends.
+    Job& busy = add(batch("job-2", 1, Rank::kStandard));
+    jobs.bind(busy, 0, y, 1, now);
+    Job& waits = add(batch("job-3", 1, Rank::kStandard));
+    EXPECT_EQ(plan().rent.size(), 1u);
+    jobs.erase(waits.spec.id);
+    // And a gang that would need its machine is not in sight: what is kept for it meanwhile is lent.
+    jobs.erase(busy.spec.id);
+    JobSpec g = batch("job-4", 2, Rank::kStandard);
+    g.shape = Shape::kGang;
+    add(g);
+    add(batch("job-5", 1, Rank::kStandard));
+    auto b = pull({&y});
+    ASSERT_EQ(b.size(), 1u);
+    EXPECT_EQ(b[0].job->spec.id, "job-5");
 }
 
 TEST_F(Service, OfProductionRankPreemptsLowerWorkAtOnce) {
