Feed the HTTP parsers, the platform's settings and the cloud's answers arbitrary bytes

Cause: the seeded test of the decoders covered records, reports, submissions, frames and the operators' settings; HTTP was fed by hand only, TOML and machine types not at all.

What changed: two more seeds in Decoders.SurviveMutatedMessages (TOML every eighth round, since it is slower than the rest together), and Http.SurvivesArbitraryBytes, which sends 300 mutated requests to the server and 300 mutated answers to the client and sees that both serve the next.

--- a/tests/base_test.cc
+++ b/tests/base_test.cc
@@ -6,6 +6,7 @@
 #include "back/frames.h"
 #include "base/bucket.h"
 #include "base/ranges.h"
+#include "cloud/cloud.h"
 #include "config/config.h"
 #include "http/pack.h"
 #include "jobs/record.h"
@@ -173,8 +174,12 @@
     back::set_label(beat, "node-0");
     Packer p;
     p.map(4).key("host").text("vm-1").key("tenure").count(1).key("tick").count(2).key("epoch").count(3);
-    std::vector<std::string> seeds{r.pack(), p.take(), back::pack(back::Kind::kBeat, 1, 2, beat),
-                                   "(hold-s 4)(min-machines 1)"};
+    std::vector<std::string> seeds{r.pack(),
+                                   p.take(),
+                                   back::pack(back::Kind::kBeat, 1, 2, beat),
+                                   "(hold-s 4)(min-machines 1)",
+                                   Cloud::pack_flavors({Flavor{"g2", 16, 2, 64, 50, 1, 4, 1, 30, {"a"}}}),
+                                   kGood};
     std::mt19937 rng(11);
     size_t taken = 0;
     for (int i = 0; i < 40000; ++i) {
@@ -195,6 +200,7 @@
         taken += Report::parse(s).has_value();
         taken += std::holds_alternative<JobSpec>(parse_submission(s));
         taken += FinalRecord::unpack(s).has_value();
+        taken += Cloud::unpack_flavors(s).has_value();
         back::Reader reader;
         reader.feed(s);
         while (auto f = reader.next()) taken += back::unpack_beat(f->payload).has_value();
@@ -203,6 +209,12 @@
             ++taken;
         } catch (const ConfigError&) {
         }
+        if (i % 8) continue;  // slower than all others together
+        try {
+            Config::parse(s);
+            ++taken;
+        } catch (const ConfigError&) {
+        }
     }
     EXPECT_GT(taken, 1000u);  // the mutations are mild enough to reach the insides
 }
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -1,3 +1,5 @@
+#include <random>
+
 #include "standins.h"
 
 using namespace hareshore;
@@ -102,6 +104,97 @@
 }
 
 // Cancelling unwinds a routine wherever it waits, and its objects are destroyed in order.
+namespace {
+
+void mutate(std::string& s, std::mt19937& rng) {
+    for (int k = static_cast<int>(rng() % 5); k > 0 && !s.empty(); --k) {
+        switch (rng() % 4) {
+            case 0:
+                s[rng() % s.size()] = static_cast<char>(rng());
+                break;
+            case 1:
+                s.resize(rng() % s.size());
+                break;
+            case 2:
+                s.insert(rng() % s.size(), s.substr(rng() % s.size(), rng() % 40));
+                break;
+            default:
+                s.insert(rng() % s.size(), 1, static_cast<char>(rng()));
+        }
+    }
+}
+
+// Answers every connection with the same bytes, then closes.
+struct RawPeer {
+    Loop& loop;
+    std::string bytes;
+    File listener;
+    Scope scope;
+    RawPeer(Loop& l, Address at) : loop(l), listener(l, listen_on(at)), scope(l) {
+        scope.spawn(accept_all(), "raw peer");
+    }
+    Task<void> accept_all() {
+        while (true) {
+            int fd = accept_from(listener.fd());
+            if (fd < 0) {
+                co_await loop.readable(listener, -1);
+                continue;
+            }
+            Stream s(loop, fd);
+            char chunk[4096];
+            co_await s.read(chunk, sizeof chunk, loop.now() + 1);
+            co_await s.write(bytes, loop.now() + 1);
+        }
+    }
+};
+
+}  // namespace
+
+// Whatever a peer sends for HTTP: the server answers or closes, the client reports a failure, and both serve
+// the next.
+TEST_F(Http, SurvivesArbitraryBytes) {
+    std::mt19937 rng(12);
+    const std::vector<std::string> requests{
+        "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nhello",
+        "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+        "GET /keys?prefix=j/&page=9 HTTP/1.1\r\nConnection: close\r\n\r\n"};
+    for (int i = 0; i < 300; ++i) {
+        std::string bytes = requests[rng() % requests.size()];
+        mutate(bytes, rng);
+        send(bytes, 0.2);
+    }
+    EXPECT_GT(served, 30) << "the mutations are mild enough to reach the insides";
+    EXPECT_EQ(count(send(requests[0]).first, "200 OK"), 1u);
+
+    RawPeer peer(loop, address(6, 8080));
+    const std::vector<std::string> answers{
+        "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+        "HTTP/1.1 503 No\r\nRetry-After: 1\r\n\r\n"};
+    int taken = 0;
+    for (int i = 0; i <= 300; ++i) {
+        peer.bytes = answers[i < 300 ? rng() % answers.size() : 0];
+        if (i < 300) mutate(peer.bytes, rng);
+        Answer a;
+        bool over = false;
+        Scope scope(loop);
+        auto ask = [](Loop& l, Answer& out, bool& done) -> Task<void> {
+            HttpClient http(l, address(6, 8080), 1);
+            out = co_await http.call("GET", "/x", "", 0.3);
+            done = true;
+        };
+        scope.spawn(ask(loop, a, over), "ask");
+        ASSERT_TRUE(loop.run_until([&] { return over; }, 5));
+        taken += a.ok();
+        if (i == 300) {
+            EXPECT_EQ(a.body, "hello");
+        }
+    }
+    EXPECT_GT(taken, 30);
+    peer.scope.cancel();
+    unwind(loop);
+}
+
 TEST(Loop, CancelUnwindsNestedRoutines) {
     FakeClock clock;
     Loop loop(clock);
