Answer a repeated submission of an accepted job also while machine types are unknown

Cause: a controller that had not learned the machine types answered 503 to every submission, also to the repeat of one that was accepted, whose user is owed 200.

What changed: it looks the job up first, as it did already where the answer would be 422; 503 remains for what is new.

Controller.KnowsAnAcceptedJobWhateverHasChangedSince; being run against the code without each of the two look-ups.

--- a/src/users/service.cc
+++ b/src/users/service.cc
@@ -126,14 +126,14 @@
         co_return plain(400, *why);
     }
     JobSpec spec = std::get<JobSpec>(std::move(parsed));
-    if (flavors_.empty()) co_return unavailable();  // what can run is not known yet
     Seconds until = loop_.now() + constants::kUserWrite_s;
-    std::string never = never_runnable(spec, config_, flavors_);
-    if (!never.empty()) {
+    bool unknown = flavors_.empty();  // what can run is not known yet
+    std::string never = unknown ? "" : never_runnable(spec, config_, flavors_);
+    if (unknown || !never.empty()) {
         // A job that was accepted once is known for ever, whatever the machine types are by now.
         Known k = co_await read(spec.id, until);
         if (k.reply == Reply::kOk) co_return told(spec.id, k, false);
-        if (k.reply != Reply::kAbsent) co_return unavailable();
+        if (unknown || k.reply != Reply::kAbsent) co_return unavailable();
         co_return plain(422, never);
     }
     if (state_away()) co_return unavailable(503, constants::kRetryAfterOutage_s);
--- a/tests/controller_test.cc
+++ b/tests/controller_test.cc
@@ -93,6 +93,33 @@
     EXPECT_EQ(submit({}), 201) << "and the connection and the process are unharmed";
 }
 
+// Whoever asks again about an accepted job is told so, whatever else has changed; what is new waits until the
+// machine types are known.
+TEST(Controller, KnowsAnAcceptedJobWhateverHasChangedSince) {
+    Site s;
+    s.start(0);
+    ASSERT_TRUE(s.until([&] { return s.leader() == 0; }));
+    s.run(1);
+    ASSERT_EQ(s.call(0, "POST", "/v2/runs", job_body("job-1")).status, 201);
+    s.kill(0);
+    s.state.rows.erase("flavors");
+    s.cloud.down = true;
+    s.start(0);
+    s.run(3);
+    EXPECT_EQ(s.call(0, "POST", "/v2/runs", job_body("job-1")).status, 200);
+    EXPECT_EQ(s.call(0, "POST", "/v2/runs", job_body("job-2")).status, 503);
+    EXPECT_EQ(s.call(0, "POST", "/v2/runs", job_body("job-3", [](auto& f) { f.erase("owner"); })).status,
+              400);
+    s.kill(0);
+    s.cloud.down = false;
+    s.configs[0].teams[0].gpus_max = 0.5;
+    s.start(0);
+    s.run(3);
+    EXPECT_EQ(s.call(0, "POST", "/v2/runs", job_body("job-1")).status, 200)
+        << "its team's limit is lower now";
+    EXPECT_EQ(s.call(0, "POST", "/v2/runs", job_body("job-2")).status, 422);
+}
+
 TEST(Controller, TellsUsersAtOnceWhenToComeBackInAnOutage) {
     Site s;
     s.start(0);
