Refuse table headers without a name before toml++ sees them

What changed: the headers are looked at first; the error names the line. Config.NamesTheFieldThatIsMissingOrInvalid has four such headers.

--- a/src/config/config.cc
+++ b/src/config/config.cc
@@ -2,7 +2,9 @@
 
 #include <toml++/toml.h>
 
+#include <cctype>
 #include <cmath>
+#include <cstring>
 #include <functional>
 
 namespace hareshore {
@@ -122,7 +124,32 @@
 
 }  // namespace
 
+// toml++ takes for granted that a table's name begins with a letter, a digit or a quote: an assertion in
+// debug builds, undefined in others.
+static void check_headers(const std::string& text) {
+    size_t line = 1;
+    bool begins = true;  // nothing but blanks so far on this line
+    for (size_t i = 0; i < text.size(); ++i) {
+        char c = text[i];
+        if (c == '\n') ++line;
+        if (c == '\n' || c == '\r' || c == '\v' || c == '\f') {
+            begins = true;
+        } else if (begins && c == '[') {
+            begins = false;
+            size_t k = i + 1;
+            if (k < text.size() && text[k] == '[') ++k;
+            while (k < text.size() && (text[k] == ' ' || text[k] == '\t')) ++k;
+            auto first = k < text.size() ? static_cast<unsigned char>(text[k]) : 0;
+            if (!(first < 0x80 && std::isalnum(first)) && (first == 0 || !std::strchr("_-\"'", first)))
+                throw ConfigError("settings: line " + std::to_string(line) + ": a table's name is needed");
+        } else if (c != ' ' && c != '\t' && static_cast<unsigned char>(c) < 0x80) {
+            begins = false;
+        }
+    }
+}
+
 Config Config::parse(const std::string& text) {
+    check_headers(text);
     try {
         return from_table(toml::parse(text));
     } catch (const toml::parse_error& e) {
--- a/tests/base_test.cc
+++ b/tests/base_test.cc
@@ -122,6 +122,9 @@
               std::string::npos);
     EXPECT_NE(error("back = \"10.0.0.1:8081\"", "back = \"host\"").find("back"), std::string::npos);
     EXPECT_NE(error("site = \"a\"", "site = ").find("line"), std::string::npos);
+    for (const char* bad : {"\n[=]\n", "\n[[\x01]]\n", "\n[ {}]", "\n["})
+        EXPECT_NE(error("site = \"a\"", "site = \"a\"" + std::string(bad)).find("line 4"), std::string::npos)
+            << bad;
 }
 
 TEST(Settings, AreSExpressionsWithPositionsInErrors) {
