Let a job that was blamed for failures wait at most 60 s for its next try

Cause: a job whose tasks failed on several machines backed off up to 160 s. The troubles that made it fail may be over by then, and no job may wait 90 s beside room that fits.

What changed: the bound of the pause is 60 s; the first pause and the doubling are as before.

--- a/src/base/constants.h
+++ b/src/base/constants.h
@@ -131,13 +131,13 @@
 inline constexpr int kHostErrors = 2;         // failed tasks of different jobs that condemn a machine
 inline constexpr double kCrawlFactor =
     2.5;  // a task that runs this many times as long as its siblings crawls
-inline constexpr double kCrawlLeast_s = 20.0;      // but not before it ran this long
-inline constexpr uint32_t kCrawlSiblings = 3;      // finished siblings that are needed to tell
-inline constexpr size_t kCrawlTasks = 2;           // crawling tasks that condemn a machine
-inline constexpr size_t kRoomJobs = 32;            // waiting jobs for which room is sought in one step
-inline constexpr int kJobHosts = 3;                // machines a job fails on before the job is blamed
-inline constexpr double kJobBackoff_s = 10.0;      // first pause of a blamed job, doubled up to
-inline constexpr double kJobBackoffMax_s = 160.0;  //   this
+inline constexpr double kCrawlLeast_s = 20.0;     // but not before it ran this long
+inline constexpr uint32_t kCrawlSiblings = 3;     // finished siblings that are needed to tell
+inline constexpr size_t kCrawlTasks = 2;          // crawling tasks that condemn a machine
+inline constexpr size_t kRoomJobs = 32;           // waiting jobs for which room is sought in one step
+inline constexpr int kJobHosts = 3;               // machines a job fails on before the job is blamed
+inline constexpr double kJobBackoff_s = 10.0;     // first pause of a blamed job, doubled up to
+inline constexpr double kJobBackoffMax_s = 60.0;  //   this: a job must not wait 90 s beside room
 
 // --- operator page ----------------------------------------------------------------------------------
 inline constexpr double kWhyLog_s = 15.0;  // a waiting job's reason is logged at most this often
--- a/tests/lifecycle_test.cc
+++ b/tests/lifecycle_test.cc
@@ -324,6 +324,12 @@
     }
     EXPECT_TRUE(jobs.find("job-7")->blamed);
     EXPECT_GT(jobs.find("job-7")->not_before, now);
+    // What made it fail may be over: beside fitting room no job waits for 90 s.
+    for (int i = 0; i < 8; ++i) {
+        now = jobs.find("job-7")->not_before;
+        fail(machine("vm-" + std::to_string(10 + i)), "job-7");
+    }
+    EXPECT_LT(jobs.find("job-7")->not_before, now + 75);
 }
 
 // When more has come than can be done in time, serving the oldest first would make all of it late in turn.
