Return machines that may hang with withdrawn work, in cut zones and outages too

Cause: a task on a machine that hangs counts as on it until the machine is deleted. Machines were returned for silence alone: after five leases in a zone taken for cut off, after two reports, a detour and a lease at a new leader, and never while the state service is away for all. Each is later than cancel_s can bear.

What changed: hold_withdrawn names machines that hold a task of a withdrawn job longer than a lease can last, and at a leader that inherits the withdrawal those that have not come within 2.2 report_s; they are returned apart from all others. A leader that is not confirmed asks the cloud for just these while every sibling answers and knows no later term. Halts by command are repeated until the task is gone and also go to machines that have not reported to this leader, which tells them of its epoch and so deposes a lone leader that holds them. Records and frames keep their form.

Conclusion: what remains is a cloud that is away from the cancellation until cancel_s later, or no leader for so long.

--- a/src/base/constants.h
+++ b/src/base/constants.h
@@ -101,6 +101,7 @@
 inline constexpr double kFleetTick_s = 1.0;      // interval of the rental decision
 inline constexpr double kStoodStill_s = 1.5;     // a tick later than this: this process stood still
 inline constexpr double kCutPatience = 5.0;      // times lease_s: a zone that is cut off is given so long
+inline constexpr double kLeaseSpare_s = 2.0;     // past its time a lease has surely ended: latency, drift
 inline constexpr double kListEvery_s = 4.0;      // interval of reading the machine list
 inline constexpr double kFlavorsEvery_s = 30.0;  // interval of reading the prices
 inline constexpr double kCloudCall_s = 6.0;      // a cloud call; answers take some 250 ms
--- a/src/fleet/plan.cc
+++ b/src/fleet/plan.cc
@@ -393,6 +393,31 @@
 
 }  // namespace
 
+std::vector<std::string> hold_withdrawn(const Cluster& cluster, const JobTable& jobs, const Config& config,
+                                        Seconds now, Seconds leading_since) {
+    std::vector<std::string> out;
+    Seconds lease = config.lease_s * (1 + constants::kDrift) + constants::kLeaseSpare_s;
+    Seconds quiet = constants::kQuietReports * config.report_s;
+    // A new leader, and one that stood still, hears its workers first.
+    if (now - leading_since <= quiet) return out;
+    for (const auto& [id, job] : jobs.all()) {
+        if (!job->withdrawn) continue;
+        for (const auto& [task, p] : job->live) {
+            auto it = cluster.hosts.find(p.host);
+            if (it == cluster.hosts.end() || it->second->deleting) continue;
+            const Host& h = *it->second;
+            // Its user may have been told long before a leader that inherits it, or one that learns of it
+            // late: then the machine's silence counts.
+            bool unheard = job->withdrawn_before && !h.reported;
+            if (unheard || now - h.last_report > lease || now - job->withdrawn_at > lease)
+                out.push_back(h.name);
+        }
+    }
+    std::sort(out.begin(), out.end());
+    out.erase(std::unique(out.begin(), out.end()), out.end());
+    return out;
+}
+
 FleetPlan plan_fleet(const Cluster& cluster, const JobTable& jobs, const FleetInput& in) {
     return Planner(cluster, jobs, in).run();
 }
--- a/src/fleet/plan.h
+++ b/src/fleet/plan.h
@@ -38,6 +38,13 @@
     uint64_t* steps = nullptr;  // counts the machines looked at for jobs; for tests of its growth
 };
 
+// Machines that hold a task of a withdrawn job longer than any lease can last that it was given since. A task
+// that could be halted is gone by then, one whose machine hears nobody ended with its lease: what is still
+// there is on a machine that hangs and may go on, and only the machine's deletion ends it. Also of a zone
+// that is cut off, and early enough for the cloud to be slow or away for a while within cancel_s.
+std::vector<std::string> hold_withdrawn(const Cluster& cluster, const JobTable& jobs, const Config& config,
+                                        Seconds now, Seconds leading_since);
+
 FleetPlan plan_fleet(const Cluster& cluster, const JobTable& jobs, const FleetInput& in);
 
 }  // namespace hareshore
--- a/src/jobs/table.cc
+++ b/src/jobs/table.cc
@@ -123,7 +123,10 @@
         j.broken = true;
         stop_gang(j, 0);
     }
-    if (r.withdrawn) withdraw(j, now);
+    if (r.withdrawn) {
+        withdraw(j, now);
+        j.withdrawn_before = true;
+    }
     return j;
 }
 
@@ -236,6 +239,7 @@
 }
 
 void JobTable::withdraw(Job& job, Seconds now) {
+    if (!job.withdrawn) job.withdrawn_at = now;
     job.withdrawn = true;
     for (auto& [task, p] : job.live) {
         p.stopping = true;
@@ -252,6 +256,12 @@
     touch(job);
 }
 
+void JobTable::urge_withdrawn(Seconds before) {
+    for (const auto& [id, job] : jobs_)
+        if (job->withdrawn && job->withdrawn_at <= before)
+            for (const auto& [task, p] : job->live) urgent_.insert(p.host);
+}
+
 void JobTable::stop_gang(Job& job, Seconds grace) {
     for (auto& [task, p] : job.live) {
         if (p.stopping && p.grace_s <= grace) continue;
--- a/src/jobs/table.h
+++ b/src/jobs/table.h
@@ -44,6 +44,8 @@
     double accepted_wall = 0;
     Seconds accepted = 0;  // on this process's clock
     bool withdrawn = false;
+    Seconds withdrawn_at = 0;       // when this leader learned of it; its user may have been told before
+    bool withdrawn_before = false;  // by the first record that this leader read: told at an unknown time
     Ranges done;
     Ranges pending;  // neither done nor live
     uint64_t next_attempt = 1;
@@ -136,6 +138,8 @@
     std::vector<Order> orders(Host& host, bool launches);
     // Machines that have been given new halts since the last call; a halt should not wait for a report.
     std::set<std::string> take_urgent() { return std::exchange(urgent_, {}); }
+    // Halts that came to nothing so far go again: of what was withdrawn before `before`.
+    void urge_withdrawn(Seconds before);
     // Whether the machine has placements that wait for their commit.
     bool awaits_commit(const Host& host) const;
     // The placements on the machine, kept up to date by bind and release; to be copied where those are
--- a/src/lead/leader.cc
+++ b/src/lead/leader.cc
@@ -20,7 +20,8 @@
 }  // namespace
 
 Leader::Leader(Loop& loop, const Config& config, const Settings& settings, StateService& state, Cloud& cloud,
-               Term term, std::vector<Flavor> flavors, Vouch vouch, Confirmed confirmed, Deposed deposed)
+               Term term, std::vector<Flavor> flavors, Vouch vouch, Confirmed confirmed,
+               Uncontested uncontested, Deposed deposed)
     : loop_(loop),
       config_(config),
       settings_(settings),
@@ -29,6 +30,7 @@
       term_(std::move(term)),
       vouch_(std::move(vouch)),
       confirmed_(std::move(confirmed)),
+      uncontested_(std::move(uncontested)),
       deposed_(std::move(deposed)),
       writes_(config.write_rps * constants::kLeaderShare,
               std::max(2.0, config.write_rps * constants::kLeaderShare)),
@@ -384,7 +386,7 @@
         Line& l = line(host);
         if (l.ordering) {
             l.again = true;
-        } else if (Host* h = cluster_.host(host); h && h->reported) {
+        } else if (Host* h = cluster_.host(host); h && !h->addr.empty()) {
             l.ordering = true;
             spawn(halt(host), "halt");
         }
@@ -401,6 +403,14 @@
         if (!h || !Address::parse(h->addr, to)) break;
         std::vector<Order> halts = jobs_.orders(*h, false);
         std::erase_if(halts, [](const Order& o) { return o.verb != Verb::kHalt; });
+        // One that has not reported to this leader may be held by another that knows less. Its session is
+        // learned from its refusal; a command that it takes also tells it of this epoch, and through it the
+        // other.
+        uint64_t session = h->session;
+        if (session == 0)
+            for (const auto& r : jobs_.on_host(host))
+                if (r.job->withdrawn)
+                    halts.push_back({Verb::kHalt, {r.job->spec.id, r.task}, r.placement->attempt, 0});
         if (halts.empty()) break;
         h->answered_direct = false;  // the command numbers a report, whether or not its answer arrives
         auto report = co_await send_orders(loop_, to, term_.epoch, h->session, std::move(halts));
@@ -408,6 +418,7 @@
         if (report && h && report->newer_than(h->session, h->seq)) {
             jobs_.apply(cluster_, *h, *report, false, loop_.now());
             ask_round();
+            if (session == 0) line(host).again = true;
         }
     } while (line(host).again);
     if (cluster_.host(host)) {
@@ -483,6 +494,11 @@
             listening_since_ = loop_.now();
         }
         ask_round();  // time has passed: what was held may go
+        return_for_withdrawn();
+        if (loop_.now() - urged_ >= config_.report_s) {
+            urged_ = loop_.now();
+            jobs_.urge_withdrawn(loop_.now() - config_.report_s);
+        }
         // A leader that was cut off or stood still may have been followed by another: what it rents and
         // returns by its old view would undo the other's work. Cut off for 120 s, one returned the whole
         // fleet.
@@ -585,23 +601,42 @@
     Seconds decided = loop_.now();
     bool perhaps = false;  // a request may have been carried out, or may yet be
     while (true) {
-        co_await confirmation();
         // Whoever was silent and is heard before the cloud could be asked is kept.
         if (!perhaps)
             std::erase_if(names, [&](const std::string& name) {
                 Host* h = cluster_.host(name);
                 if (!h || !silent.count(name) || h->last_report <= decided) return false;
+                if (holds_withdrawn(name)) return false;
                 log::info("machine {}: heard again, kept", name);
                 h->deleting = false;
                 return true;
             });
         if (names.empty()) co_return;
-        Removal r = co_await cloud_.remove(names);
-        if (r == Removal::kDone) break;
+        std::vector<std::string> asked;
+        if (confirmed_()) {
+            asked = names;
+        } else if (uncontested_()) {
+            for (const auto& name : names)
+                if (holds_withdrawn(name)) asked.push_back(name);
+        }
+        if (asked.empty()) {
+            co_await loop_.sleep(constants::kRetryPause_s);
+            continue;
+        }
+        Removal r = co_await cloud_.remove(asked);
+        if (r == Removal::kDone) {
+            gone(asked);
+            std::erase_if(names, [&](const std::string& name) { return gone_.count(name) > 0; });
+            continue;
+        }
         perhaps = perhaps || r == Removal::kUnknown;
         co_await loop_.sleep(pause);
         pause = std::min(pause * 2, constants::kRetryPauseMax_s);
     }
+}
+
+// Their deletion was confirmed.
+void Leader::gone(const std::vector<std::string>& names) {
     for (const auto& name : names) {
         jobs_.host_gone(name, loop_.now());
         cluster_.hosts.erase(name);
@@ -615,6 +650,26 @@
     ask_round();
 }
 
+bool Leader::holds_withdrawn(const std::string& host) const {
+    const auto& tasks = jobs_.on_host(host);
+    return std::any_of(tasks.begin(), tasks.end(), [](const Resident& r) { return r.job->withdrawn; });
+}
+
+// In an outage of the state service for all this cannot wait for a confirmation. Where every sibling knows
+// of no later leader there is none whose work could be undone; and no rule breaks if there were, since a
+// machine that is deleted runs nothing.
+void Leader::return_for_withdrawn() {
+    if (!confirmed_() && !uncontested_()) return;
+    FleetPlan plan;
+    plan.give_back =
+        hold_withdrawn(cluster_, jobs_, config_, loop_.now(), std::max(loaded_at_, listening_since_));
+    for (const auto& name : plan.give_back) {
+        plan.silent.insert(name);
+        plan.reasons[name] = "it may hang with a task of a withdrawn job";
+    }
+    return_machines(plan);
+}
+
 size_t Leader::machines_reported() const {
     return static_cast<size_t>(std::count_if(cluster_.hosts.begin(), cluster_.hosts.end(),
                                              [](const auto& h) { return h.second->reported; }));
--- a/src/lead/leader.h
+++ b/src/lead/leader.h
@@ -23,10 +23,13 @@
     using Vouch = std::function<Seconds(Seconds since)>;
     // Whether this leadership is certain now.
     using Confirmed = std::function<bool()>;
+    // Whether no other leadership can exist, though the state service does not say so.
+    using Uncontested = std::function<bool()>;
     using Deposed = std::function<void(const char* why)>;
 
     Leader(Loop& loop, const Config& config, const Settings& settings, StateService& state, Cloud& cloud,
-           Term term, std::vector<Flavor> flavors, Vouch vouch, Confirmed confirmed, Deposed deposed);
+           Term term, std::vector<Flavor> flavors, Vouch vouch, Confirmed confirmed, Uncontested uncontested,
+           Deposed deposed);
     void start();
     void stop();
     bool stopped() const { return stopped_; }
@@ -69,6 +72,9 @@
     Task<void> confirmation();
     Task<void> remove(std::vector<std::string> names, std::set<std::string> silent);
     void return_machines(const FleetPlan& plan);
+    void return_for_withdrawn();
+    bool holds_withdrawn(const std::string& host) const;
+    void gone(const std::vector<std::string>& names);
     Task<void> halt(std::string host);
 
     void spawn(Task<void> task, const char* name);
@@ -94,6 +100,7 @@
     Term term_;
     Vouch vouch_;
     Confirmed confirmed_;
+    Uncontested uncontested_;
     Deposed deposed_;
 
     JobTable jobs_;
@@ -116,6 +123,7 @@
     Seconds listening_since_ = 0;  // before this, that a machine was silent says nothing
     uint64_t claims_ = 0;
     Seconds fleet_logged_ = -1e9;
+    Seconds urged_ = -1e9;  // when halts of withdrawn work were last repeated
     // Where the GPU time that is paid for goes, in GPU seconds since this leader began; for the log.
     struct Spent {
         double booting = 0, idle = 0, unused = 0, starting = 0, running = 0;
--- a/src/node.cc
+++ b/src/node.cc
@@ -96,6 +96,15 @@
     return std::max(since, until);
 }
 
+// Every sibling has answered lately and knows of no later term: there is no other leader.
+bool Controller::uncontested() const {
+    if (!election_.leading()) return false;
+    for (const auto& p : siblings_.peers())
+        if (loop_.now() - p.answered >= constants::kBeatFresh_s || p.beat.epoch > election_.epoch())
+            return false;
+    return true;
+}
+
 bool Controller::ready() const {
     Seconds age = loop_.now() - std::max(state_.last_contact(), started_);
     if (state_.last_contact() < 0) {
@@ -139,6 +148,7 @@
                 loop_, config_, settings_, state_, cloud_, term, flavors_,
                 [this](Seconds since) { return vouched(since); },
                 [this, epoch] { return election_.epoch() == epoch && election_.confirmed(); },
+                [this, epoch] { return election_.epoch() == epoch && uncontested(); },
                 [this, epoch](const char* why) {
                     if (election_.epoch() == epoch) election_.deposed(why);
                 });
--- a/src/node.h
+++ b/src/node.h
@@ -29,6 +29,7 @@
     void resign_if_cut_off();
     back::Beat beat() const;
     Seconds vouched(Seconds since) const;
+    bool uncontested() const;
 
     Loop& loop_;
     const Config& config_;
--- a/tests/controller_test.cc
+++ b/tests/controller_test.cc
@@ -610,6 +610,54 @@
     EXPECT_EQ(s.cloud.deleted.size(), 1u) << "once it is confirmed, or leads anew";
 }
 
+// A command may be lost, and a machine that does not report hears nothing else.
+TEST(Controller, RepeatsTheHaltOfWithdrawnWork) {
+    Site s;
+    int commands = 0;
+    Address at = address(60, 9000);
+    HttpServer machine(s.loop, at, 20, [&](Request) -> Task<Response> {
+        ++commands;
+        co_return Response{500, "", 0, ""};
+    });
+    s.start(0);
+    ASSERT_TRUE(s.until([&] { return s.leader() == 0; }));
+    s.run(1);
+    FakeWorker w;
+    w.addr = text_of(at);
+    s.settle(w);
+    ASSERT_EQ(s.call(0, "POST", "/v2/runs", job_body("job-1")).status, 201);
+    s.hello(w, 0);
+    s.hello(w, 0);
+    ASSERT_TRUE(w.find("job-1/0"));
+    ASSERT_EQ(phase_of(s.call(0, "POST", "/v2/runs/job-1/withdraw")), "withdrawn");
+    s.run(11);
+    EXPECT_GE(commands, 3);
+    machine.stop();
+    unwind(s.loop);
+}
+
+// Nor what holds withdrawn work, if a sibling does not answer: it may lead by now.
+TEST(Controller, ALeaderThatMayHaveBeenFollowedReturnsNothing) {
+    Site s(2);
+    s.start(0);
+    s.start(1);
+    ASSERT_TRUE(s.until([&] { return s.leader() >= 0; }));
+    int first = s.leader();
+    s.run(6);
+    FakeWorker w;
+    s.cloud.machines[w.name] = {w.name, w.addr, w.flavor, w.zone, false, MachinePhase::kRunning, 100};
+    s.settle(w);
+    ASSERT_EQ(s.call(first, "POST", "/v2/runs", job_body("job-1")).status, 201);
+    s.hello(w, first);
+    s.hello(w, first);
+    ASSERT_TRUE(w.find("job-1/0"));
+    ASSERT_EQ(phase_of(s.call(first, "POST", "/v2/runs/job-1/withdraw")), "withdrawn");
+    s.state.silent = true;
+    s.kill(1 - first);
+    s.run(60);
+    EXPECT_TRUE(s.cloud.deleted.empty());
+}
+
 // The cloud is away when a silent machine is given up, and the machine is heard again before it is back.
 TEST(Controller, KeepsAMachineThatIsHeardBeforeItCouldBeReturned) {
     Site s;
--- a/tests/lifecycle_test.cc
+++ b/tests/lifecycle_test.cc
@@ -164,6 +164,49 @@
     EXPECT_GT(j.live.at(0).attempt, 3u);
 }
 
+// A cancelled task that is still on its machine after any lease it was given can only be on one that hangs.
+// The machine must go, and soon enough for cancel_s, however quiet its zone is.
+TEST_F(Lifecycle, AMachineThatHoldsWithdrawnWorkIsDueAfterALease) {
+    config.cancel_s = 49;
+    auto due = [&](Seconds leading_since) {
+        return hold_withdrawn(cluster, jobs, config, now, leading_since);
+    };
+    using Names = std::vector<std::string>;
+    for (int i = 0; i < 6; ++i) machine("vm-" + std::to_string(i)).last_report = now;
+    Job& j = add(spec("job-1", 1), {{0, {3, "vm-1", "a"}}});
+    add(spec("job-2", 1), {{0, {3, "vm-2", "a"}}});
+    now += 30;
+    EXPECT_TRUE(due(0).empty()) << "silence alone is no reason";
+    cluster.host("vm-1")->last_report = now - 1;
+    jobs.withdraw(j, now);
+    now += 10;
+    EXPECT_TRUE(due(0).empty()) << "it may hear the halt yet";
+    now += config.lease_s - 8 + constants::kLeaseSpare_s;
+    EXPECT_EQ(due(0), Names{"vm-1"}) << "its lease has ended";
+    EXPECT_LT(now, j.withdrawn_at + config.cancel_s - 15) << "the cloud may be slow";
+    EXPECT_TRUE(due(now - 5).empty()) << "whoever stood still listens first";
+    cluster.host("vm-1")->last_report = now;
+    EXPECT_EQ(due(0), Names{"vm-1"}) << "it reports, and hears nothing";
+    // A leader that learns late counts from the machine's silence.
+    jobs.withdraw(*jobs.find("job-2"), now);
+    EXPECT_EQ(due(0), (Names{"vm-1", "vm-2"}));
+    cluster.host("vm-1")->deleting = true;
+    EXPECT_EQ(due(0), Names{"vm-2"});
+    // One that inherits a withdrawal does not know since when: a machine that does not come is due soon.
+    JobRecord r;
+    r.spec = spec("job-3", 1);
+    r.withdrawn = true;
+    r.live[0] = {4, "vm-9", "a"};
+    jobs.load(r, 9, now, 0);
+    cluster.ensure("vm-9", now);
+    Seconds loaded = now;
+    now += 5;
+    EXPECT_TRUE(due(loaded).empty());
+    now += 4;
+    auto names = due(loaded);
+    EXPECT_EQ(std::count(names.begin(), names.end(), "vm-9"), 1);
+}
+
 // Launch after forget: the exit is committed first, and the next start has another attempt.
 TEST_F(Lifecycle, ForgetsOnlyWhatIsCommittedAndNeverReusesAnAttempt) {
     Job& j = add(spec("job-1", 1));
--- a/tests/standins.h
+++ b/tests/standins.h
@@ -58,6 +58,7 @@
     int puts = 0;
     void stop() { server_.stop(); }
 
+    Task<Response> handle(Request r);  // also for gates that stand before it
     Response apply(const std::string& body);
     void end_lease(uint64_t id);
     void outage_is_over();  // all leases have their full time again
@@ -69,7 +70,6 @@
         std::string data;
         uint64_t stamp;
     };
-    Task<Response> handle(Request r);
     static std::string query(const Request& r, const std::string& name);
     void expire();
 
