Refuse letters outside ASCII where no text is before toml++ sees them

Cause: under UndefinedBehaviorSanitizer the seeded test reached a point in toml++ 3.3 that it marks unreachable: its table of blanks has no case for letters from U+00A1 to U+0499 outside strings.

What changed: such letters are refused outside of strings and comments; the error names the line. Letters in a text or a comment are taken as before, which the test of the settings now shows.

Decoders.SurviveMutatedMessages failed under the sanitizers without it and passes with it, as do the tests of the settings.

--- a/src/config/config.cc
+++ b/src/config/config.cc
@@ -125,12 +125,26 @@
 }  // namespace
 
 // toml++ takes for granted that a table's name begins with a letter, a digit or a quote: an assertion in
-// debug builds, undefined in others.
+// debug builds, undefined in others. So it is with letters outside ASCII where no text is.
 static void check_headers(const std::string& text) {
     size_t line = 1;
     bool begins = true;  // nothing but blanks so far on this line
+    char quote = 0;      // of the string that this byte is in
     for (size_t i = 0; i < text.size(); ++i) {
         char c = text[i];
+        if (c == '\n') {
+            quote = 0;
+        } else if (quote) {
+            if (c == '\\' && quote == '"' && i + 1 < text.size() && text[i + 1] != '\n') ++i;
+            if (c == quote) quote = 0;
+        } else if (c == '"' || c == '\'') {
+            quote = c;
+        } else if (c == '#') {
+            quote = '\n';  // a comment: to the end of the line
+        } else if (static_cast<unsigned char>(c) >= 0x80) {
+            throw ConfigError("settings: line " + std::to_string(line) +
+                              ": a letter outside ASCII and of no text");
+        }
         if (c == '\n') ++line;
         if (c == '\n' || c == '\r' || c == '\v' || c == '\f') {
             begins = true;
--- a/tests/base_test.cc
+++ b/tests/base_test.cc
@@ -54,7 +54,7 @@
 site = "a"
 client_listen = "10.0.0.1:8080"
 back = "10.0.0.1:8081"
-future = "ignored"
+future = "ignored é"  # également
 [endpoints]
 cloud = "10.2.0.2:8443"
 state = "10.2.0.1:2379"
@@ -122,7 +122,7 @@
               std::string::npos);
     EXPECT_NE(error("back = \"10.0.0.1:8081\"", "back = \"host\"").find("back"), std::string::npos);
     EXPECT_NE(error("site = \"a\"", "site = ").find("line"), std::string::npos);
-    for (const char* bad : {"\n[=]\n", "\n[[\x01]]\n", "\n[ {}]", "\n["})
+    for (const char* bad : {"\n[=]\n", "\n[[\x01]]\n", "\n[ {}]", "\n[", "\né = 1"})
         EXPECT_NE(error("site = \"a\"", "site = \"a\"" + std::string(bad)).find("line 4"), std::string::npos)
             << bad;
 }
