--- a/src/node.h
+++ b/src/node.h
@@ -22,6 +22,7 @@
   private:
     Task<void> follow_election();
     Task<void> learn_flavors();
+    Task<void> follow_form();
     Task<Response> hello(std::string body);
     Task<Response> relayed(std::string body);
     Response operator_page(const std::string& path);
@@ -29,6 +30,9 @@
     void resign_if_cut_off();
     back::Beat beat() const;
     Seconds vouched(Seconds since) const;
+    void told_withdrawn(const std::string& id);
+    // Whether every sibling has said that it knows the forms of this version.
+    bool all_upgraded() const;
 
     Loop& loop_;
     const Config& config_;
@@ -38,6 +42,7 @@
     Cloud cloud_;
     Election election_;
     std::vector<Flavor> flavors_;
+    Form form_;
     UserService users_;
     std::shared_ptr<Leader> leader_;
     // When a worker was pointed to which leader: one that comes back could not reach it.
