--- a/tests/service_test.cc
+++ b/tests/service_test.cc
@@ -218,6 +218,8 @@
     Host &x = machine("vm-1"), &y = machine("vm-2");
     JobSpec s = service("job-1", 1);
     s.cpus = 16;
+    s.gpus = 1;
+    s.memory_gb = 8;
     s.estimate_s = 30;
     add(s);
     ASSERT_EQ(started({&x}), 1u);
