--- a/src/base/bucket.h
+++ b/src/base/bucket.h
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "base/clock.h"
+#include "base/constants.h"
 
 namespace hareshore {
 
@@ -23,7 +24,9 @@
     // Seconds until n are there.
     Seconds until(double n, Seconds now) {
         refill(now);
-        return left_ >= n ? 0 : (std::min(n, burst_) - left_) / rate_;
+        // What rounding leaves out of a token is no reason to wait: so short a wait would not move the clock.
+        return left_ + constants::kTokenSpare >= std::min(n, burst_) ? 0
+                                                                     : (std::min(n, burst_) - left_) / rate_;
     }
     // The peer says that the limit is exceeded: what was thought to be left is not there.
     void drain(Seconds now) {
--- a/src/base/constants.h
+++ b/src/base/constants.h
@@ -58,6 +58,7 @@
 inline constexpr double kRetryPause_s = 0.25;      // pause after a failed call, doubled up to
 inline constexpr double kRetryPauseMax_s = 2.0;    //   this: a service that comes back is not stampeded
 inline constexpr double kElectionSpread_s = 0.25;  // candidates wait up to this so that few collide
+inline constexpr double kTokenSpare = 1e-6;        // tokens of a rate: far below one, far above rounding
 inline constexpr double kLeaderShare = 0.75;       // share of write_rps that the leader uses itself
 inline constexpr size_t kRecordLeast = 1024;  // bytes of value_kb: below, a common job's record does not fit
 inline constexpr size_t kRecordSpare =
--- a/tests/base_test.cc
+++ b/tests/base_test.cc
@@ -49,6 +49,20 @@
     EXPECT_TRUE(b.take(1, 1.11));
 }
 
+// Rounding left a wait too short to move the clock: whoever waited for two changes spun for ever.
+TEST(Bucket, NeverWaitsForLessThanTheClockTells) {
+    Bucket b(11.25, 2);
+    Seconds now = 1000.1;
+    for (int i = 0; i < 100'000; ++i) {
+        Seconds wait = b.until(2, now);
+        ASSERT_TRUE(wait == 0 || now + wait > now) << i;
+        now += wait;
+        if (wait > 0) continue;
+        b.take(2, now) || b.take(1, now);
+        now += (i % 7) * 0.013;
+    }
+}
+
 static const char* kGood = R"(
 label = "n0"
 site = "a"
--- a/tests/upgrade_test.cc
+++ b/tests/upgrade_test.cc
@@ -454,6 +454,39 @@
     EXPECT_EQ(phase_of(s.call(0, "GET", "/v2/runs/job-2")), "pending");
 }
 
+// Ten tasks are bound in one round: their records go out in as many transactions as it takes.
+TEST(Upgrade, SendsNoMoreChangesAtOnceThanTheLaterLimitAllows) {
+    for (size_t ops : {2u, 4u}) {
+        Site s;
+        lower_limits(s, 2048, ops);
+        s.start(0);
+        ASSERT_TRUE(s.until([&] { return s.state.rows.count("form") == 1; }));
+        s.run(1);
+        auto number = [](double d) { return Packer().number(d).take(); };
+        FakeWorker w;
+        s.settle(w);
+        for (int i = 0; i < 10; ++i)
+            ASSERT_EQ(
+                s.call(0, "POST", "/v2/runs",
+                       job_body("job-" + std::to_string(i),
+                                [&](auto& f) { f["vcpus"] = f["cards"] = f["memory_gb"] = number(0.1); }))
+                    .status,
+                201);
+        s.run(1);
+        for (int i = 0; i < 4; ++i) s.hello(w, 0);
+        EXPECT_EQ(w.tasks.size(), 10u);
+        for (auto& t : w.tasks) {
+            t.phase = TaskPhase::kExited;
+            t.cause = ExitCause::kDone;
+        }
+        for (int i = 0; i < 4; ++i) s.hello(w, 0);
+        s.run(3);
+        for (int i = 0; i < 10; ++i)
+            EXPECT_EQ(s.state.rows.count("f/job-" + std::to_string(i)), 1u) << "ends, two changes each";
+        EXPECT_EQ(s.state.invalid, 0);
+    }
+}
+
 TEST(Upgrade, RefusesADescriptionThatNoRecordCouldHold) {
     Site s;
     // Accepted by an earlier version: it stays known.
@@ -524,7 +557,8 @@
     EXPECT_EQ(s.call(0, "POST", "/v2/runs", job_body("job-7")).status, 503);
     EXPECT_EQ(s.call(0, "POST", "/v2/runs", job_body("job-8")).status, 201);
     for (int i = 0; i < 3; ++i) s.hello(w, 0);
-    EXPECT_EQ(w.tasks.size(), 2u) << "neither forgotten";
+    ASSERT_EQ(w.tasks.size(), 2u) << "neither forgotten";
+    ASSERT_TRUE(w.find("job-7/0"));
     EXPECT_EQ(w.find("job-7/0")->phase, TaskPhase::kRunning) << "nor halted";
     EXPECT_EQ(s.state.rows.at("j/job-7").data, packed);
     FakeWorker other;
