--- a/tests/controller_test.cc
+++ b/tests/controller_test.cc
@@ -161,6 +161,38 @@
     EXPECT_EQ(w.find("job-1/0")->phase, TaskPhase::kRunning);
 }
 
+// A report from before a launch comes late, and to a new leader. Its epoch is old: the answer with the launch
+// may have come after it, so that what it lacks may be there all the same.
+TEST(Controller, AnOldReportProvesNoAbsenceToANewLeader) {
+    Site s(2);
+    s.start(0);
+    s.start(1);
+    ASSERT_TRUE(s.until([&] { return s.leader() >= 0; }));
+    int first = s.leader();
+    s.run(3);
+    FakeWorker w;
+    s.settle(w);
+    auto gang = [](auto& f) { f["shape"] = Packer().text("ensemble").take(); };
+    ASSERT_EQ(s.call(first, "POST", "/v2/runs", job_body("job-1", gang)).status, 201);
+    FakeWorker before = w;
+    s.hello(w, first);
+    s.hello(w, first);
+    ASSERT_TRUE(w.find("job-1/0"));
+    s.kill(first);
+    s.state.end_lease(s.state.rows.at("leader").lease);
+    ASSERT_TRUE(s.until([&] { return s.leader() >= 0; }));
+    int second = s.leader();
+    s.run(1);
+    before.deaf = true;
+    s.hello(before, second);
+    FakeWorker other;
+    other.name = "vm-000002";
+    s.settle(other);
+    s.hello(other, second);
+    EXPECT_FALSE(other.find("job-1/0")) << "it runs where it was";
+    EXPECT_EQ(s.nodes[static_cast<size_t>(second)]->leader()->jobs().find("job-1")->live.size(), 1u);
+}
+
 // A node that restarts finds its own last leadership in the store and ends it, rather than believing that
 // it still leads or waiting for the lease. The epoch is never used again.
 TEST(Controller, ARestartDuringItsOwnLeadershipTakesANewEpoch) {
