--- /dev/null
+++ b/tests/load/load_site.cc
@@ -0,0 +1,195 @@
+// A stand-in deployment on loopback in real time, for measuring what a controller costs: state service, cloud,
+// workers that report and run tasks, and users who submit and poll. Writes a settings file for each
+// controller; the controllers themselves are started by whoever measures, see measure-costs.
+#include <CLI/CLI.hpp>
+#include <fstream>
+#include <iostream>
+#include <random>
+
+#include "standins.h"
+
+namespace hareshore::test {
+
+namespace {
+
+struct LoadOptions {
+    int controllers = 1;
+    int workers = 200;
+    double report_s = 5;         // interval of each worker's reports
+    double task_s = 60;          // how long a task runs
+    double jobs_per_s = 0;       // submissions of one array of tasks_per_job tasks each
+    int tasks_per_job = 4;
+    int pollers = 0;             // users that poll a job again and again
+    double poll_s = 5;           // interval of each user's polls
+    double for_s = 30;           // then the stand-ins end
+    int sockets = 800;
+    std::string directory = ".";  // where the settings files go
+};
+
+constexpr int kStateHost = 1;
+constexpr int kFirstControllerHost = 10;
+constexpr uint16_t kStatePort = 2379;
+constexpr uint16_t kCloudPort = 8443;
+constexpr uint16_t kUserPort = 8080;
+constexpr uint16_t kPeerPort = 8081;
+
+Address controller_address(int controller) {
+    return address(kFirstControllerHost + controller, kUserPort);
+}
+
+void write_settings(const LoadOptions& options, int controller) {
+    std::ofstream out(options.directory + "/controller-" + std::to_string(controller) + ".toml");
+    out << "label = \"controller-" << controller << "\"\nsite = \"a\"\n"
+        << "client_listen = \"" << text_of(controller_address(controller)) << "\"\n"
+        << "back = \"" << text_of(address(kFirstControllerHost + controller, kPeerPort)) << "\"\n";
+    for (int peer = 0; peer < options.controllers; ++peer)
+        if (peer != controller)
+            out << "[[siblings]]\nlabel = \"controller-" << peer << "\"\nsite = \"a\"\naddr = \""
+                << text_of(address(kFirstControllerHost + peer, kPeerPort)) << "\"\n";
+    out << "[endpoints]\ncloud = \"" << text_of(address(kStateHost, kCloudPort)) << "\"\nstate = \""
+        << text_of(address(kStateHost, kStatePort)) << "\"\n"
+        << "[facts]\nnodes = " << options.controllers << "\nzones = [\"a\", \"b\"]\nskew_ms = 100.0\n"
+        << "[[facts.teams]]\nname = \"team\"\ncpus = 0.0\ncpus_max = 0.0\ngpus = 0.0\ngpus_max = 0.0\n"
+        << "[facts.workers]\nreport_s = " << options.report_s
+        << "\nlease_s = 24.0\ngang_wait_s = 40.0\ngang_peer_s = 4.0\ncancel_s = 49.0\n"
+        << "[facts.state]\nrps = 2000.0\nwrite_rps = 500.0\nvalue_kb = 8.0\ntxn_ops = 12\n"
+        << "[facts.cloud]\nrps = 12.0\nlist_lag_s = 6.0\n"
+        << "[facts.machine_limits]\ncores = 1.0\nram_mb = 512.0\nsockets = " << options.sockets << "\n";
+}
+
+// A worker that keeps its connection, follows redirections and ends its tasks by itself.
+class LoadWorker {
+  public:
+    LoadWorker(Loop& loop, const LoadOptions& options, int number) : loop_(loop), options_(options) {
+        worker_.name = fmt::format("vm-{:06}", number);
+        worker_.addr = text_of(address(kStateHost, kCloudPort));
+        worker_.zone = number % 2 == 0 ? "a" : "b";
+        controller_ = number % options.controllers;
+    }
+
+    Task<void> run() {
+        std::mt19937 random(std::hash<std::string>{}(worker_.name));
+        std::uniform_real_distribution<double> spread(0.75, 1.25);
+        co_await loop_.sleep(options_.report_s * (spread(random) - 0.75) * 2);
+        while (true) {
+            bool accepted = co_await report();
+            end_tasks();
+            co_await loop_.sleep(accepted ? options_.report_s * spread(random) : 1.0);
+        }
+    }
+
+  private:
+    Task<bool> report() {
+        if (!client_) client_ = std::make_unique<HttpClient>(loop_, controller_address(controller_), 1);
+        Answer answer = co_await client_->call("POST", "/hello", worker_.report(), 4.0);
+        if (answer.status == 200) {
+            worker_.carry_out(answer.body);
+            for (const auto& task : worker_.tasks) started_.try_emplace(task.name.text(), loop_.now());
+            co_return true;
+        }
+        auto redirect = Message::parse(answer.body);
+        std::string to = redirect ? redirect->root()["harbor"].text_or("") : "";
+        auto dash = to.rfind('-');
+        controller_ = dash == std::string::npos ? (controller_ + 1) % options_.controllers
+                                                : std::stoi(to.substr(dash + 1));
+        client_.reset();
+        co_return false;
+    }
+
+    void end_tasks() {
+        for (auto& task : worker_.tasks) {
+            if (task.phase != TaskPhase::kRunning) continue;
+            if (loop_.now() - started_[task.name.text()] < options_.task_s) continue;
+            task.phase = TaskPhase::kExited;
+            task.cause = ExitCause::kDone;
+        }
+    }
+
+    Loop& loop_;
+    const LoadOptions& options_;
+    FakeWorker worker_;
+    int controller_;
+    std::map<std::string, Seconds> started_;
+    std::unique_ptr<HttpClient> client_;
+};
+
+struct UserCounts {
+    int submissions = 0, accepted = 0, polls = 0, answered = 0;
+};
+
+Task<void> submit_jobs(Loop& loop, const LoadOptions& options, UserCounts& counts) {
+    HttpClient client(loop, controller_address(0), 4);
+    while (options.jobs_per_s > 0) {
+        co_await loop.sleep(1 / options.jobs_per_s);
+        auto id = fmt::format("job-{:06}", ++counts.submissions);
+        auto body = job_body(id, [&](std::map<std::string, std::string>& fields) {
+            Packer tasks;
+            fields["pieces"] = tasks.count(static_cast<uint64_t>(options.tasks_per_job)).take();
+        });
+        Answer answer = co_await client.call("POST", "/v2/runs", body, 5.0);
+        if (answer.status == 201) ++counts.accepted;
+    }
+}
+
+Task<void> poll(Loop& loop, const LoadOptions& options, int number, UserCounts& counts) {
+    HttpClient client(loop, controller_address(number % options.controllers), 1);
+    co_await loop.sleep(options.poll_s * number / std::max(1, options.pollers));
+    while (true) {
+        int job = 1 + number % std::max(1, counts.submissions);
+        Answer answer = co_await client.call("GET", fmt::format("/v2/runs/job-{:06}", job), "", 2.0);
+        ++counts.polls;
+        if (answer.status == 200) ++counts.answered;
+        co_await loop.sleep(options.poll_s);
+    }
+}
+
+void play(const LoadOptions& options) {
+    SystemClock clock;
+    Loop loop(clock);
+    FakeState state(loop);
+    state.open(0, address(kStateHost, kStatePort));
+    FakeCloud cloud(loop, address(kStateHost, kCloudPort));
+    cloud.machine_types = {small_machine_type()};
+    for (int controller = 0; controller < options.controllers; ++controller)
+        write_settings(options, controller);
+    std::vector<std::unique_ptr<LoadWorker>> workers;
+    UserCounts counts;
+    Scope scope(loop);
+    for (int number = 0; number < options.workers; ++number) {
+        workers.push_back(std::make_unique<LoadWorker>(loop, options, number));
+        scope.spawn(workers.back()->run(), "worker");
+    }
+    scope.spawn(submit_jobs(loop, options, counts), "submissions");
+    for (int number = 0; number < options.pollers; ++number)
+        scope.spawn(poll(loop, options, number, counts), "poll");
+    loop.run_until([] { return false; }, options.for_s);
+    std::cout << counts.accepted << " of " << counts.submissions << " submissions accepted, "
+              << counts.answered << " of " << counts.polls << " polls answered\n";
+    scope.cancel();
+    state.stop();
+    cloud.stop();
+    unwind(loop);
+}
+
+}  // namespace
+
+}  // namespace hareshore::test
+
+int main(int argc, char** argv) {
+    hareshore::test::LoadOptions options;
+    CLI::App app{"A stand-in deployment for measuring controllers"};
+    app.add_option("--controllers", options.controllers, "settings files to write");
+    app.add_option("--workers", options.workers, "machines that report");
+    app.add_option("--report-s", options.report_s, "interval of a worker's reports");
+    app.add_option("--task-s", options.task_s, "how long a task runs");
+    app.add_option("--jobs-per-s", options.jobs_per_s, "submissions a second");
+    app.add_option("--tasks-per-job", options.tasks_per_job, "tasks of each job");
+    app.add_option("--pollers", options.pollers, "users who poll");
+    app.add_option("--poll-s", options.poll_s, "interval of a user's polls");
+    app.add_option("--for-s", options.for_s, "how long to play");
+    app.add_option("--sockets", options.sockets, "sockets of each controller");
+    app.add_option("--directory", options.directory, "where settings files are written");
+    CLI11_PARSE(app, argc, argv);
+    hareshore::test::play(options);
+    return 0;
+}
