Count rooms anew only of machines that changed; a quiet report asks for no scheduling pass

A report now asks for a pass if it brings news or has room for what waits; while tasks are held for a better machine a pass follows after 0.25 s.

--- a/src/base/constants.h
+++ b/src/base/constants.h
@@ -107,6 +107,7 @@
     3.2;  // an idle worker's report is held; a worker gives up at 4 s (protocol)
 inline constexpr double kHoldRelayed_s = 2.0;   // a relayed one for less: kRelay_s holds for the whole way
 inline constexpr double kPassInterval_s = 0.1;  // between scheduling passes; reports in between share one
+inline constexpr double kHeldPass_s = 0.25;  // a pass follows so soon while tasks are held for a better machine
 inline constexpr double kPassRest =
     4.0;  // a scheduling pass's time, times this, is left to answers before the next
 inline constexpr double kPassWait_s =
--- a/src/fleet/cluster.cc
+++ b/src/fleet/cluster.cc
@@ -90,48 +90,73 @@
     return *h;
 }
 
+namespace {
+
+Machine::TaskCount count_tasks(const Machine& machine, const JobTable& jobs) {
+    Machine::TaskCount count;
+    for (const auto& r : jobs.on_machine(machine.name)) {
+        count.taken += Amount::of(r.job->spec);
+        ++count.placed;
+    }
+    for (const auto& task : machine.tasks) {
+        if (task.phase == TaskPhase::kExited) continue;
+        if (const Job* job = jobs.find(task.name.job)) {
+            auto placement = job->live.find(task.name.task);
+            if (placement != job->live.end() && placement->second.machine == machine.name)
+                continue;  // counted above
+        }
+        count.taken += task.amount;
+        ++count.placed;
+        count.all_sized = count.all_sized && task.sized;
+        count.unplaced.push_back({task.name.job, task.team, task.amount});
+    }
+    return count;
+}
+
+}  // namespace
+
+void Cluster::recount_machine(Machine& machine, JobTable& jobs, Seconds now, Seconds silent_after) const {
+    if (!machine.counted) {
+        machine.count = count_tasks(machine, jobs);
+        machine.counted = true;
+    }
+    const MachineType* type = machine_type(machine.machine_type);
+    machine.free = type ? Amount{type->cpus, type->gpus, type->memory_gb} : Amount{};
+    if (type) machine.cache.set_capacity(type->cache_gb);
+    machine.free -= machine.count.taken;
+    machine.placed = machine.count.placed;
+    machine.usable = type && machine.current && !machine.condemned && !machine.deleting &&
+                     !machine.emptying && machine.leaves_at < 0 && machine.unheard_since < 0 &&
+                     (machine.holding || now - machine.last_report <= silent_after) &&
+                     machine.count.all_sized;
+    if (machine.placed > 0) {
+        machine.idle_since = -1;
+    } else if (machine.idle_since < 0) {
+        machine.idle_since = now;
+    }
+}
+
 void Cluster::recount(JobTable& jobs, Seconds now, Seconds silent_after) {
+    for (const auto& name : jobs.take_changed_machines())
+        if (Machine* changed = machine(name)) changed->counted = false;
     teams.clear();
-    for (auto& [name, h] : machines) {
-        const MachineType* f = machine_type(h->machine_type);
-        h->free = f ? Amount{f->cpus, f->gpus, f->memory_gb} : Amount{};
-        if (f) h->cache.set_capacity(f->cache_gb);
-        h->kept = {};
-        h->kept_until = 0;
-        h->placed = 0;
-        h->usable = f && h->current && !h->condemned && !h->deleting && !h->emptying && h->leaves_at < 0 &&
-                    h->unheard_since < 0 && (h->holding || now - h->last_report <= silent_after);
-    }
     for (const auto& [id, job] : jobs.all()) {
         job->orphan = false;
         if (job->live.empty()) continue;
         auto n = static_cast<double>(job->live.size());
-        teams[job->spec.team].cpus += n * job->spec.cpus;
-        teams[job->spec.team].gpus += n * job->spec.gpus;
+        TeamUse& use = teams[job->spec.team];
+        use.cpus += n * job->spec.cpus;
+        use.gpus += n * job->spec.gpus;
     }
-    for (auto& [name, h] : machines) {
-        for (const auto& r : jobs.on_machine(name)) {
-            h->free -= Amount::of(r.job->spec);
-            ++h->placed;
-        }
-        for (const auto& t : h->tasks) {
-            if (t.phase == TaskPhase::kExited) continue;
-            Job* job = jobs.find(t.name.job);
-            if (job) {
-                auto it = job->live.find(t.name.task);
-                if (it != job->live.end() && it->second.machine == name) continue;  // counted above
-                job->orphan = true;
-            }
-            h->free -= t.amount;
-            ++h->placed;
-            teams[t.team].cpus += t.amount.cpus;
-            teams[t.team].gpus += t.amount.gpus;
-            if (!t.sized) h->usable = false;  // what it takes is not known
-        }
-        if (h->placed > 0) {
-            h->idle_since = -1;
-        } else if (h->idle_since < 0) {
-            h->idle_since = now;
+    for (auto& [name, machine] : machines) {
+        recount_machine(*machine, jobs, now, silent_after);
+        machine->kept = {};
+        machine->kept_until = 0;
+        for (const auto& task : machine->count.unplaced) {
+            if (Job* job = jobs.find(task.job)) job->orphan = true;
+            TeamUse& use = teams[task.team];
+            use.cpus += task.amount.cpus;
+            use.gpus += task.amount.gpus;
         }
     }
 }
--- a/src/fleet/cluster.h
+++ b/src/fleet/cluster.h
@@ -42,6 +42,10 @@
         return cpus + kEps >= a.cpus && gpus + kEps >= a.gpus && memory_gb + kEps >= a.memory_gb;
     }
     bool holds(const JobSpec& s) const { return holds(of(s)); }
+    // The smaller of each.
+    Amount lesser(const Amount& o) const {
+        return {std::min(cpus, o.cpus), std::min(gpus, o.gpus), std::min(memory_gb, o.memory_gb)};
+    }
     // How many tasks of this size fit, at most `most`.
     uint32_t fits(const JobSpec& s, uint32_t most) const;
     static Amount of(const JobSpec& s) { return {s.cpus, s.gpus, s.memory_gb}; }
@@ -98,6 +102,22 @@
     std::string why_condemned;
     Seconds idle_since = -1;
 
+    // Of the reported tasks, one that runs here though no placement accounts for it.
+    struct UnplacedTask {
+        std::string job, team;
+        Amount amount;
+    };
+    // What placements and reported tasks take, counted when either has changed (`counted`): most scheduling
+    // passes come with the news of a few machines, and counting all of them anew was their largest cost.
+    struct TaskCount {
+        Amount taken;
+        uint32_t placed = 0;
+        bool all_sized = true;  // of each reported task it is known what it takes
+        std::vector<UnplacedTask> unplaced;
+    };
+    TaskCount count;
+    bool counted = false;
+
     // Recounted from placements and reports.
     Amount free;
     Amount kept;             // of it, kept for gangs that wait
@@ -123,8 +143,10 @@
     const MachineType* machine_type(const std::string& name) const;
     Machine* machine(const std::string& name);
     Machine& ensure(const std::string& name, Seconds now);
-    // Computes room and team use anew: placements and reported tasks both count, each task once.
+    // Brings room and team use up to date: placements and reported tasks both count, each task once.
     void recount(JobTable& jobs, Seconds now, Seconds silent_after);
+    // The same of one machine's room alone, without team use.
+    void recount_machine(Machine& machine, JobTable& jobs, Seconds now, Seconds silent_after) const;
     // Whether the team's limit allows so many more tasks beside what it uses and what is kept.
     bool within_limit(const Config& config, const JobSpec& spec, uint32_t tasks, TeamUse kept = {}) const;
 };
--- a/src/jobs/table.cc
+++ b/src/jobs/table.cc
@@ -48,7 +48,7 @@
         p.zone = b.zone;
         p.inherited = true;
         p.bound_at = now;
-        by_machine_[b.machine].push_back({&j, task, &(j.live[task] = p)});
+        enter(b.machine, {&j, task, &(j.live[task] = p)});
         j.pending.remove(task);
         // A gang's tasks share an attempt. Whether it has started is not kept: it counts as started, so
         // that no replacement joins an attempt that has already run.
@@ -78,6 +78,7 @@
     dirty_.clear();
     queued_.clear();
     by_machine_.clear();
+    changed_machines_.clear();
     quarantined_.clear();
 }
 
@@ -143,13 +144,19 @@
     p.bound_at = now;
     job.pending.remove(task);
     Placement& kept = job.live[task] = p;
-    by_machine_[machine.name].push_back({&job, task, &kept});
+    enter(machine.name, {&job, task, &kept});
     return kept;
 }
 
+void JobTable::enter(const std::string& machine, const Resident& resident) {
+    by_machine_[machine].push_back(resident);
+    changed_machines_.insert(machine);
+}
+
 void JobTable::leave(const std::string& machine, const Job& job, uint32_t task) {
     auto it = by_machine_.find(machine);
     if (it == by_machine_.end()) return;
+    changed_machines_.insert(machine);
     std::erase_if(it->second, [&](const Resident& r) { return r.job == &job && r.task == task; });
     if (it->second.empty()) by_machine_.erase(it);
 }
@@ -393,7 +400,9 @@
     bool news = false;
     std::map<std::pair<TaskName, uint64_t>, MachineTask> before;
     for (auto& t : machine.tasks) before[{t.name, t.attempt}] = t;
+    news = machine.tasks.size() != r.tasks.size();
     machine.tasks.clear();
+    machine.counted = false;
     machine.session = r.session;
     machine.seq = r.seq;
     machine.addr = r.addr;
--- a/src/jobs/table.h
+++ b/src/jobs/table.h
@@ -181,6 +181,8 @@
     std::vector<Command> commands(Machine& machine, bool launches);
     // Machines that have been given new stops since the last call; a stop should not wait for a report.
     std::set<std::string> take_urgent() { return std::exchange(urgent_, {}); }
+    // Machines whose placements have changed since the last call.
+    std::set<std::string> take_changed_machines() { return std::exchange(changed_machines_, {}); }
     // Stops that came to nothing so far go again: of what was cancelled before `before`.
     void repeat_stops(Seconds before);
     // Whether the machine has placements that wait for their commit.
@@ -192,6 +194,7 @@
     const std::vector<Resident>& on_machine(const std::string& machine) const;
 
   private:
+    void enter(const std::string& machine, const Resident& resident);
     void leave(const std::string& machine, const Job& job, uint32_t task);
     void release(Job& job, uint32_t task, Seconds now);
     void settle(Job& job);
@@ -210,6 +213,7 @@
     std::set<std::string> queued_;    // what dirty_ holds
     std::set<std::string> urgent_;
     std::set<std::string> quarantined_;
+    std::set<std::string> changed_machines_;
     std::unordered_map<std::string, std::vector<Resident>> by_machine_;
 };
 
--- a/src/leader/leader.h
+++ b/src/leader/leader.h
@@ -90,6 +90,9 @@
     Task<void> run_passes();
     void request_pass();
     void step();  // matches, and sends off what came of it
+    void note_demand();
+    bool asks_for_work(Machine& machine);
+    Seconds silent_after() const;  // an older report shows no room
     void drain(Machine& machine);
     void wake(const std::string& machine);
     WorkerSession& worker_session(const std::string& machine);
@@ -143,6 +146,8 @@
     } spent_;
     Bucket writes_;
     std::optional<Amount> replica_;  // what no replica of a service asks less than; none without services
+    std::optional<Amount> least_waiting_;  // what no waiting task asks less than; none if none waits
+    bool held_back_ = false;         // a waiting task was held for a better machine in the last pass
     bool wanted_ = false;            // a scheduling pass is wanted
     uint64_t passes_ = 0;
     Seconds next_pass_ = -1e9, longest_pass_ = 0;
--- a/src/leader/machines.cc
+++ b/src/leader/machines.cc
@@ -94,8 +94,7 @@
         FleetInput in{config_,        settings_, loop_.now(), std::max(loaded_at_, listening_since_),
                       refused_until_, on_order_, true,        kind_seen_spot_only(),
                       cut_at_};
-        cluster_.recount(jobs_, loop_.now(),
-                         constants::kFreshReports * config_.report_s);  // without what is kept
+        cluster_.recount(jobs_, loop_.now(), silent_after());  // without what is kept
         account(constants::kFleetTick_s);
         FleetPlan plan = plan_fleet(cluster_, jobs_, in);
         for (const auto& zone : plan.cut) {
--- a/src/leader/workers.cc
+++ b/src/leader/workers.cc
@@ -61,8 +61,12 @@
     bool noticed = h->leaves_at >= 0;
     // Only a machine that has seen this epoch can no longer be given launches by an earlier leader, so only
     // then does a task's absence prove anything.
-    jobs_.apply(cluster_, *h, r, h->current, loop_.now());
-    if (h->leaves_at >= 0 && !noticed) drain(*h);
+    bool news = jobs_.apply(cluster_, *h, r, h->current, loop_.now());
+    if (h->leaves_at >= 0 && !noticed) {
+        drain(*h);
+        news = true;
+    }
+    news = news || first || h->current != was_current || heard != (h->unheard_since < 0);
     worker_session(name).wake.notify();  // an older report of it, if one is held, is let go
     struct Held {
         Leader& l;
@@ -71,7 +75,7 @@
             if (Machine* x = l.cluster_.machine(name)) x->holding = false;
         }
     };
-    {
+    if (news || wanted_ || asks_for_work(*h)) {
         // It asks for work in the next scheduling pass.
         Held held{*this, name};
         h->holding = true;
@@ -124,6 +128,13 @@
     co_return ok;
 }
 
+// Whether a scheduling pass could bind something to a machine that has reported nothing new: most reports come
+// from machines that are full, or while nothing waits, and a pass looks at all machines.
+bool Leader::asks_for_work(Machine& machine) {
+    cluster_.recount_machine(machine, jobs_, loop_.now(), silent_after());
+    return machine.usable && least_waiting_ && machine.free.holds(*least_waiting_);
+}
+
 // A machine is about to be taken: what can save does so now, and replicas move at once. From a machine that
 // is only to be returned they move one by one (JobTable::move_replicas).
 void Leader::drain(Machine& machine) {
@@ -138,7 +149,10 @@
 // comes within a scheduling pass is decided together.
 Task<void> Leader::run_passes() {
     while (true) {
-        while (!wanted_) co_await loop_.wait(ask_, -1);
+        // What is held for a better machine may go to another soon, without any report.
+        Seconds until = held_back_ ? loop_.now() + constants::kHeldPass_s : -1;
+        while (!wanted_)
+            if (co_await loop_.wait(ask_, until) == Wake::kTimeout) break;
         if (loop_.now() < next_pass_) co_await loop_.sleep(next_pass_ - loop_.now());
         wanted_ = false;
         Seconds began = loop_.now();
@@ -160,22 +174,14 @@
 
 void Leader::step() {
     if (!loaded_ || stopped_) return;
-    cluster_.recount(jobs_, loop_.now(), constants::kFreshReports * config_.report_s);
-    replica_.reset();
-    for (const auto& [id, j] : jobs_.all()) {
-        if (!j->spec.service() || j->cancelled) continue;
-        Amount a = Amount::of(j->spec);
-        if (replica_)
-            a = {std::min(a.cpus, replica_->cpus), std::min(a.gpus, replica_->gpus),
-                 std::min(a.memory_gb, replica_->memory_gb)};
-        replica_ = a;
-    }
+    cluster_.recount(jobs_, loop_.now(), silent_after());
     SchedulerInput in{config_, settings_, loop_.now(), {}, nullptr, record_format_.in_force()};
     for (auto& [name, h] : cluster_.machines)
         if (h->holding) in.askers.push_back(h.get());
     for (const auto& b : schedule(cluster_, jobs_, in))
         log::debug("bound {}/{} attempt {} to {}", b.job->spec.id, b.task, b.job->live.at(b.task).attempt,
                    b.machine->name);
+    note_demand();
     for (const auto& machine : jobs_.take_urgent()) {
         WorkerSession& l = worker_session(machine);
         if (l.command_in_flight) {
@@ -188,6 +194,27 @@
     if (jobs_.any_dirty()) dirty_.notify();
 }
 
+// What a machine must have room for at least to be given something, now and if a replica ends.
+void Leader::note_demand() {
+    replica_.reset();
+    least_waiting_.reset();
+    held_back_ = false;
+    auto lower = [](std::optional<Amount>& least, const JobSpec& spec) {
+        Amount amount = Amount::of(spec);
+        least = least ? least->lesser(amount) : amount;
+    };
+    for (const auto& [id, job] : jobs_.all()) {
+        if (job->spec.service() && !job->cancelled) lower(replica_, job->spec);
+        if (!job->waiting()) continue;
+        lower(least_waiting_, job->spec);
+        held_back_ = held_back_ || job->why == Wait::kHeldForImage || job->why == Wait::kHeldForSpread;
+    }
+}
+
+Seconds Leader::silent_after() const {
+    return constants::kFreshReports * config_.report_s;
+}
+
 // Stops go at once; a gang must hear of its stop within gang_peer_s.
 Task<void> Leader::send_stops(std::string machine) {
     do {
--- a/src/scheduler/queue.cc
+++ b/src/scheduler/queue.cc
@@ -78,11 +78,7 @@
 Amount least_of(const std::vector<Queued>& jobs) {
     if (jobs.empty()) return {};
     Amount least = Amount::of(jobs.front().job->spec);
-    for (const auto& q : jobs) {
-        const JobSpec& s = q.job->spec;
-        least = {std::min(least.cpus, s.cpus), std::min(least.gpus, s.gpus),
-                 std::min(least.memory_gb, s.memory_gb)};
-    }
+    for (const auto& q : jobs) least = least.lesser(Amount::of(q.job->spec));
     return least;
 }
 
