--- a/tests/service_rules_test.cc
+++ b/tests/service_rules_test.cc
@@ -87,7 +87,7 @@
         bool spot;  // of a machine that breaks it
     };
     const Rule rules[] = {
-        {"zone", [](JobSpec& s) { s.zone = "a"; }, "b", "g2", false},
+        {"zone", [](JobSpec& s) { s.zone = std::string("a"); }, "b", "g2", false},
         {"type", [](JobSpec& s) { s.machine_types = {"g2"}; }, "a", "g8", false},
         {"kind", [](JobSpec&) {}, "a", "g2", true},
     };
