Read into one buffer of the loop's instead of one in each connection's frame; end routines in constant time

Cause: a connection's routine held 8 KiB for reading, most of a controller's memory, and the end of a routine looked through all others of its scope. The tests' peers read the same way. The test for bytes and end in one event fails without the remembered hang-up.

--- a/src/base/constants.h
+++ b/src/base/constants.h
@@ -24,8 +24,8 @@
 inline constexpr size_t kAnswerShare = 16;  //   no more than this part of the memory: parsed, it
                                             //   takes several times as much
 inline constexpr size_t kAnswerLeast = size_t{1024} * 1024;  // a page of records has 512 KiB
-inline constexpr size_t kReadChunk = size_t{8} * 1024;       // bytes per read; most messages fit into one
-inline constexpr int kNesting = 16;                          // levels of MessagePack nesting; ours need 4
+inline constexpr size_t kReadBuffer = size_t{32} * 1024;  // bytes per read; nearly all messages fit into one
+inline constexpr int kNesting = 16;                       // levels of MessagePack nesting; ours need 4
 inline constexpr int kBacklog =
     4096;  // connections waiting for accept: a fleet comes at once to a new leader
 inline constexpr double kIdleConnection_s = 75.0;  // a connection without a request this long is closed
@@ -109,7 +109,8 @@
     3.2;  // an idle worker's report is held; a worker gives up at 4 s (protocol)
 inline constexpr double kHoldRelayed_s = 2.0;   // a relayed one for less: kRelay_s holds for the whole way
 inline constexpr double kPassInterval_s = 0.1;  // between scheduling passes; reports in between share one
-inline constexpr double kHeldPass_s = 0.25;  // a pass follows so soon while tasks are held for a better machine
+inline constexpr double kHeldPass_s =
+    0.25;  // a pass follows so soon while tasks are held for a better machine
 inline constexpr double kPassRest =
     4.0;  // a scheduling pass's time, times this, is left to answers before the next
 inline constexpr double kPassWait_s =
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -51,14 +51,15 @@
     bool written = co_await stream.write(out, until);
     c.answer.sent = true;
     if (!written) co_return Answer{0, true, false, ""};
-    char chunk[constants::kReadChunk];
     while (!c.complete) {
-        ssize_t n = co_await stream.read(chunk, sizeof chunk, until);
-        if (n < 0) co_return Answer{0, true, false, ""};
-        http_parser_execute(&c.parser, &c.settings, chunk, static_cast<size_t>(n));
+        Stream::Read got = co_await stream.read(until);
+        bool ended = got.outcome == Stream::Read::Outcome::kEnd;
+        if (!got.ok() && !ended) co_return Answer{0, true, false, ""};
+        // No bytes tell the parser that the stream has ended, which completes an answer without a length.
+        http_parser_execute(&c.parser, &c.settings, got.bytes.data(), got.bytes.size());
         auto error = HTTP_PARSER_ERRNO(&c.parser);
         if (error != HPE_OK && error != HPE_PAUSED) co_return Answer{0, true, c.answer.too_large, ""};
-        if (n == 0 && !c.complete) co_return Answer{0, true, false, ""};
+        if (ended && !c.complete) co_return Answer{0, true, false, ""};
     }
     keep = http_should_keep_alive(&c.parser) != 0;
     c.answer.status = static_cast<int>(c.parser.status_code);
--- a/src/http/message.cc
+++ b/src/http/message.cc
@@ -37,22 +37,25 @@
 }
 }  // namespace
 
-Task<ssize_t> Stream::read(char* to, size_t most, Seconds until) {
+Task<Stream::Read> Stream::read(Seconds until) {
+    std::span<char> buffer = loop_.read_buffer();
     while (true) {
         // After a short read nothing is left, and the next event tells of more (epoll(7), edge-triggered):
         // asking all the same was one system call in four.
         if (!more_ && !file_->hung_up() && co_await loop_.readable(*file_, until) == Wake::kTimeout)
-            co_return -2;
-        ssize_t n = recv(file_->fd(), to, most, 0);
-        more_ = n == static_cast<ssize_t>(most);
-        if (n >= 0) co_return n;
+            co_return Read{Read::Outcome::kTimeout, {}};
+        ssize_t n = recv(file_->fd(), buffer.data(), buffer.size(), 0);
+        more_ = n == static_cast<ssize_t>(buffer.size());
+        if (n > 0) co_return Read{Read::Outcome::kBytes, {buffer.data(), static_cast<size_t>(n)}};
+        if (n == 0) co_return Read{Read::Outcome::kEnd, {}};
         if (errno == EINTR) {
             more_ = true;
             continue;
         }
-        if (errno != EAGAIN && errno != EWOULDBLOCK) co_return -1;
+        if (errno != EAGAIN && errno != EWOULDBLOCK) co_return Read{Read::Outcome::kError, {}};
         // Hung up and yet nothing to read: only the writing side has ended, or the event was early.
-        if (file_->hung_up() && co_await loop_.readable(*file_, until) == Wake::kTimeout) co_return -2;
+        if (file_->hung_up() && co_await loop_.readable(*file_, until) == Wake::kTimeout)
+            co_return Read{Read::Outcome::kTimeout, {}};
     }
 }
 
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -33,8 +33,14 @@
   public:
     Stream(Loop& loop, int fd) : Stream(loop, std::make_unique<File>(loop, fd)) {}
     Stream(Loop& loop, std::unique_ptr<File> file) : loop_(loop), file_(std::move(file)) {}
-    // Bytes read, 0 at the end of the stream, -1 on error, -2 on timeout.
-    Task<ssize_t> read(char* to, size_t most, Seconds until);
+    struct Read {
+        enum class Outcome : uint8_t { kBytes, kEnd, kError, kTimeout };
+        Outcome outcome = Outcome::kError;
+        // In the loop's buffer, which all streams share: to be used up before the reader waits for anything.
+        std::string_view bytes;
+        bool ok() const { return outcome == Outcome::kBytes; }
+    };
+    Task<Read> read(Seconds until);
     Task<bool> write(std::string_view bytes, Seconds until);
     // The peer has closed or sent something unasked, as far as the loop has been told.
     bool stale() const;
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -131,21 +131,22 @@
 Task<void> HttpServer::serve(int fd) {
     Stream stream(loop_, fd);
     Collector c;
-    std::string pending;  // bytes read but not parsed
-    char chunk[constants::kReadChunk];
+    std::string behind;  // bytes that came behind a complete request
     Seconds until = loop_.now() + constants::kIdleConnection_s;
     bool started = false;
     while (true) {
-        if (pending.empty()) {
-            ssize_t n = co_await stream.read(chunk, sizeof chunk, until);
-            if (n <= 0) co_return;
-            pending.assign(chunk, static_cast<size_t>(n));
+        std::string_view input = behind;
+        if (input.empty()) {
+            Stream::Read got = co_await stream.read(until);
+            if (!got.ok()) co_return;
+            input = got.bytes;
             if (!started) {
                 started = true;
                 until = loop_.now() + constants::kSlowRequest_s;
             }
         }
-        size_t used = http_parser_execute(&c.parser, &c.settings, pending.data(), pending.size());
+        size_t used = http_parser_execute(&c.parser, &c.settings, input.data(), input.size());
+        behind = std::string(input.substr(std::min(used, input.size())));
         auto error = HTTP_PARSER_ERRNO(&c.parser);
         bool bad = c.parser.upgrade || (error != HPE_OK && error != HPE_PAUSED);
         // Too large is said at once; what remains of the body is read and dropped.
@@ -155,7 +156,6 @@
             co_await stream.write(out, loop_.now() + constants::kWriteStall_s);
             co_return;
         }
-        pending.erase(0, used);
         if (c.request.oversized && !c.refused) {
             c.refused = true;
             std::string out = render(Response{400, "", 0, "application/msgpack"}, true);
--- a/src/leader/leader.h
+++ b/src/leader/leader.h
@@ -147,8 +147,8 @@
     Bucket writes_;
     std::optional<Amount> replica_;  // what no replica of a service asks less than; none without services
     std::optional<Amount> least_waiting_;  // what no waiting task asks less than; none if none waits
-    bool held_back_ = false;         // a waiting task was held for a better machine in the last pass
-    bool wanted_ = false;            // a scheduling pass is wanted
+    bool held_back_ = false;               // a waiting task was held for a better machine in the last pass
+    bool wanted_ = false;                  // a scheduling pass is wanted
     uint64_t passes_ = 0;
     Seconds next_pass_ = -1e9, longest_pass_ = 0;
     Signal ready_, dirty_, ask_, pass_done_;
--- a/src/leader/workers.cc
+++ b/src/leader/workers.cc
@@ -128,8 +128,8 @@
     co_return ok;
 }
 
-// Whether a scheduling pass could bind something to a machine that has reported nothing new: most reports come
-// from machines that are full, or while nothing waits, and a pass looks at all machines.
+// Whether a scheduling pass could bind something to a machine that has reported nothing new: most reports
+// come from machines that are full, or while nothing waits, and a pass looks at all machines.
 bool Leader::asks_for_work(Machine& machine) {
     cluster_.recount_machine(machine, jobs_, loop_.now(), silent_after());
     return machine.usable && least_waiting_ && machine.free.holds(*least_waiting_);
--- a/src/loop/loop.cc
+++ b/src/loop/loop.cc
@@ -71,7 +71,7 @@
     } catch (const std::exception& e) {
         log::error("routine {} ended: {}", name, e.what());
     }
-    state->routines.remove(routine.get());
+    state->routines.erase(routine->place);
 }
 
 }  // namespace
@@ -80,7 +80,7 @@
     if (state_->cancelled) return;
     auto routine = std::make_unique<Routine>();
     Routine* raw = routine.get();
-    state_->routines.push_back(raw);
+    raw->place = state_->routines.insert(state_->routines.end(), raw);
     Root root = run_root(std::move(task), std::move(name), state_, std::move(routine));
     root.handle.promise().routine = raw;
     loop_.post(root.handle);
@@ -91,7 +91,8 @@
     for (Routine* r : state_->routines) r->cancel();
 }
 
-Loop::Loop(Clock& clock) : clock_(clock), epoll_(epoll_create1(EPOLL_CLOEXEC)) {
+Loop::Loop(Clock& clock)
+    : clock_(clock), epoll_(epoll_create1(EPOLL_CLOEXEC)), read_buffer_(constants::kReadBuffer) {
     if (epoll_ < 0) throw std::system_error(errno, std::generic_category(), "epoll_create1");
 }
 
--- a/src/loop/loop.h
+++ b/src/loop/loop.h
@@ -6,7 +6,9 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <span>
 #include <string>
+#include <vector>
 
 #include "base/clock.h"
 #include "loop/task.h"
@@ -122,6 +124,8 @@
         return true;
     }
     void stop() { stopped_ = true; }
+    // One buffer for all that read: in the frame of each connection's routine it was most of its memory.
+    std::span<char> read_buffer() { return read_buffer_; }
 
     struct Await : Waiter {
         Seconds until;
@@ -159,6 +163,7 @@
     std::deque<std::coroutine_handle<>> ready_;
     std::multimap<Seconds, Waiter*> timers_;
     std::map<int, File*> files_;
+    std::vector<char> read_buffer_;
 };
 
 }  // namespace hareshore
--- a/src/loop/task.h
+++ b/src/loop/task.h
@@ -4,6 +4,7 @@
 #pragma once
 #include <coroutine>
 #include <exception>
+#include <list>
 #include <optional>
 #include <utility>
 
@@ -16,6 +17,7 @@
 struct Routine {
     Waiter* pending = nullptr;  // the wait that the routine is in
     bool cancelled = false;
+    std::list<Routine*>::iterator place;  // among the routines of its scope
     void cancel();
 };
 
--- a/src/peer/peers.cc
+++ b/src/peer/peers.cc
@@ -204,12 +204,10 @@
 
 Task<void> Peers::read_all(std::shared_ptr<Link> link) {
     peer::Reader reader;
-    char chunk[constants::kReadChunk];
     while (link->open) {
-        ssize_t n =
-            co_await link->stream->read(chunk, sizeof chunk, loop_.now() + constants::kHeartbeatFresh_s);
-        if (n <= 0) break;
-        reader.feed({chunk, static_cast<size_t>(n)});
+        Stream::Read got = co_await link->stream->read(loop_.now() + constants::kHeartbeatFresh_s);
+        if (!got.ok()) break;
+        reader.feed(got.bytes);
         while (auto f = reader.next()) {
             if (f->kind == peer::Kind::kHeartbeat || f->kind == peer::Kind::kHeartbeatAnswer) {
                 auto heartbeat = peer::unpack_heartbeat(f->payload);
--- a/tests/cancellation_test.cc
+++ b/tests/cancellation_test.cc
@@ -64,11 +64,10 @@
     Task<void> serve(int fd) {
         Stream stream(site.loop, fd);
         peer::Reader reader;
-        char chunk[4096];
         while (true) {
-            ssize_t n = co_await stream.read(chunk, sizeof chunk, -1);
-            if (n <= 0) co_return;
-            reader.feed({chunk, static_cast<size_t>(n)});
+            Stream::Read got = co_await stream.read(-1);
+            if (!got.ok()) co_return;
+            reader.feed(got.bytes);
             while (auto f = reader.next()) {
                 if (f->kind != peer::Kind::kHeartbeat || !answers) continue;
                 std::string out;
@@ -85,9 +84,10 @@
     }
     Task<void> count_unknown(std::shared_ptr<Stream> stream) {
         peer::Reader reader;
-        char chunk[4096];
-        for (ssize_t n; (n = co_await stream->read(chunk, sizeof chunk, -1)) > 0;) {
-            reader.feed({chunk, static_cast<size_t>(n)});
+        while (true) {
+            Stream::Read got = co_await stream->read(-1);
+            if (!got.ok()) co_return;
+            reader.feed(got.bytes);
             while (auto f = reader.next()) unknown += f->kind == peer::Kind::kCancellationNotice;
         }
     }
--- a/tests/compatibility_test.cc
+++ b/tests/compatibility_test.cc
@@ -225,9 +225,8 @@
     auto stream = co_await connect_to(loop, to, loop.now() + 1);
     if (!stream) co_return;
     co_await stream->write(frame, loop.now() + 1);
-    char chunk[4096];
-    ssize_t count = co_await stream->read(chunk, sizeof chunk, loop.now() + 3);
-    if (count > 0) answer.assign(chunk, static_cast<size_t>(count));
+    Stream::Read got = co_await stream->read(loop.now() + 3);
+    if (got.ok()) answer.assign(got.bytes);
 }
 
 // The only controller of a deployment, elected for the term after the stored one.
--- a/tests/fault_scenario.cc
+++ b/tests/fault_scenario.cc
@@ -61,14 +61,13 @@
 
 Task<void> Wire::pump(std::shared_ptr<Stream> from, std::shared_ptr<Stream> into,
                       std::shared_ptr<bool> open) {
-    char chunk[4096];
     peer::Reader reader;
     while (*open) {
-        ssize_t n = co_await from->read(chunk, sizeof chunk, loop.now() + 0.5);
-        if (n == -2) continue;
+        Stream::Read got = co_await from->read(loop.now() + 0.5);
+        if (got.outcome == Stream::Read::Outcome::kTimeout) continue;
+        std::string bytes(got.bytes);  // before anything is waited for
         while (cut) co_await loop.sleep(0.1);
-        if (n <= 0) break;
-        std::string bytes(chunk, static_cast<size_t>(n));
+        if (!got.ok()) break;
         if (old_peer) bytes = as_old_peer(reader, bytes);
         if (!bytes.empty() && !co_await into->write(bytes, loop.now() + 1)) break;
     }
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -1,3 +1,5 @@
+#include <sys/socket.h>
+
 #include <random>
 
 #include "standins.h"
@@ -12,15 +14,14 @@
     auto s = co_await connect_to(loop, to, loop.now() + 1);
     if (!s) co_return;
     co_await s->write(bytes, loop.now() + wait);
-    char chunk[4096];
     Seconds until = loop.now() + wait;
     while (true) {
-        ssize_t n = co_await s->read(chunk, sizeof chunk, until);
-        if (n <= 0) {
-            closed = n != -2;
+        Stream::Read got = co_await s->read(until);
+        if (!got.ok()) {
+            closed = got.outcome != Stream::Read::Outcome::kTimeout;
             co_return;
         }
-        out.append(chunk, static_cast<size_t>(n));
+        out.append(got.bytes);
     }
 }
 
@@ -141,8 +142,7 @@
                 continue;
             }
             Stream s(loop, fd);
-            char chunk[4096];
-            co_await s.read(chunk, sizeof chunk, loop.now() + 1);
+            co_await s.read(loop.now() + 1);
             co_await s.write(bytes, loop.now() + 1);
         }
     }
@@ -223,3 +223,64 @@
     loop.run_until([&] { return scope.size() == 0; }, 1);
     EXPECT_EQ(unwound, 2);
 }
+
+namespace {
+
+// A connected pair of streams on loopback.
+struct StreamPair {
+    explicit StreamPair(Loop& loop) {
+        int ends[2] = {-1, -1};
+        EXPECT_EQ(socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, ends), 0);
+        left = std::make_unique<Stream>(loop, ends[0]);
+        right = std::make_unique<Stream>(loop, ends[1]);
+    }
+    std::unique_ptr<Stream> left, right;
+};
+
+// Reads until the stream ends; `waited` says how long that took.
+Task<void> read_to_end(Loop& loop, Stream& stream, std::string& out, Seconds& waited) {
+    Seconds began = loop.now();
+    while (true) {
+        Stream::Read got = co_await stream.read(loop.now() + 20);
+        if (!got.ok()) break;
+        out.append(got.bytes);
+    }
+    waited = loop.now() - began;
+}
+
+Task<void> write_and_close(Loop& loop, StreamPair& pair, std::string bytes) {
+    co_await pair.left->write(bytes, loop.now() + 1);
+    pair.left.reset();
+}
+
+}  // namespace
+
+// After a short read a stream waits for an event. One event may tell of the last bytes and of the end: the
+// end must then be found without another, or a closed connection would be kept until its time is over.
+TEST(Stream, FindsTheEndThatCameWithTheLastBytes) {
+    FakeClock clock;
+    Loop loop(clock);
+    for (size_t size : {size_t{1}, constants::kReadBuffer, constants::kReadBuffer + 1}) {
+        StreamPair pair(loop);
+        Scope scope(loop);
+        std::string out;
+        Seconds waited = -1;
+        scope.spawn(write_and_close(loop, pair, std::string(size, 'x')), "writer");
+        loop.turn(0);
+        scope.spawn(read_to_end(loop, *pair.right, out, waited), "reader");
+        ASSERT_TRUE(loop.run_until([&] { return waited >= 0; }, 30));
+        EXPECT_EQ(out.size(), size);
+        EXPECT_LT(waited, 1);
+    }
+}
+
+TEST(Stream, IsStaleOnceItsPeerHasClosed) {
+    FakeClock clock;
+    Loop loop(clock);
+    StreamPair pair(loop);
+    loop.turn(0);
+    EXPECT_FALSE(pair.right->stale());
+    pair.left.reset();
+    loop.turn(0);
+    EXPECT_TRUE(pair.right->stale());
+}
--- a/tests/limits_test.cc
+++ b/tests/limits_test.cc
@@ -385,10 +385,9 @@
             "\r\n\r\n" + body;
         bool sent = co_await stream->write(request, until);
         while (sent && x.answer.find("\r\n\r\n") == std::string::npos) {
-            char chunk[1024];
-            ssize_t n = co_await stream->read(chunk, sizeof chunk, until);
-            if (n <= 0) break;
-            x.answer.append(chunk, static_cast<size_t>(n));
+            Stream::Read got = co_await stream->read(until);
+            if (!got.ok()) break;
+            x.answer.append(got.bytes);
         }
     }
     x.took = s.loop.now() - began;
--- a/tests/load/load_site.cc
+++ b/tests/load/load_site.cc
@@ -1,5 +1,5 @@
-// A stand-in deployment on loopback in real time, for measuring what a controller costs: state service, cloud,
-// workers that report and run tasks, and users who submit and poll. Writes a settings file for each
+// A stand-in deployment on loopback in real time, for measuring what a controller costs: state service,
+// cloud, workers that report and run tasks, and users who submit and poll. Writes a settings file for each
 // controller; the controllers themselves are started by whoever measures, see measure-costs.
 #include <CLI/CLI.hpp>
 #include <fstream>
@@ -15,13 +15,13 @@
 struct LoadOptions {
     int controllers = 1;
     int workers = 200;
-    double report_s = 5;         // interval of each worker's reports
-    double task_s = 60;          // how long a task runs
-    double jobs_per_s = 0;       // submissions of one array of tasks_per_job tasks each
+    double report_s = 5;    // interval of each worker's reports
+    double task_s = 60;     // how long a task runs
+    double jobs_per_s = 0;  // submissions of one array of tasks_per_job tasks each
     int tasks_per_job = 4;
-    int pollers = 0;             // users that poll a job again and again
-    double poll_s = 5;           // interval of each user's polls
-    double for_s = 30;           // then the stand-ins end
+    int pollers = 0;    // users that poll a job again and again
+    double poll_s = 5;  // interval of each user's polls
+    double for_s = 30;  // then the stand-ins end
     int sockets = 800;
     std::string directory = ".";  // where the settings files go
 };
