Take in reports without maps, copies of task lists or a second search for guarantees

Cause: each report built two ordered maps of task names and copied its tasks twice; a pass worked out twice whose work is within a guarantee.

--- a/src/fleet/plan.cc
+++ b/src/fleet/plan.cc
@@ -29,7 +29,7 @@
         judge();
         collect();
         SchedulerInput m{in_.config, in_.settings, in_.now, {}};
-        auto queue = queue_order(jobs_, m);
+        auto queue = queue_order(jobs_, m, entitled_jobs(in_.config, jobs_));
         least_ = least_of(queue);
         for (size_t i = 0; i < slots_.size(); ++i) open_.push_back(i);
         for (const auto& q : queue) cover(*q.job);
--- a/src/jobs/table.cc
+++ b/src/jobs/table.cc
@@ -395,13 +395,24 @@
     }
 }
 
+namespace {
+
+// One attempt of a task in what a machine reported. Reports keep their order: it is mostly found at `hint`.
+std::vector<MachineTask>::const_iterator find_attempt(const std::vector<MachineTask>& tasks, size_t hint,
+                                                      const TaskName& name, uint64_t attempt) {
+    auto matches = [&](const MachineTask& t) { return t.attempt == attempt && t.name == name; };
+    if (hint < tasks.size() && matches(tasks[hint])) return tasks.begin() + static_cast<long>(hint);
+    return std::find_if(tasks.begin(), tasks.end(), matches);
+}
+
+}  // namespace
+
 // NOLINTNEXTLINE(readability-function-size,readability-function-cognitive-complexity): to be split by event
 bool JobTable::apply(Cluster& cluster, Machine& machine, const Report& r, bool absence, Seconds now) {
     bool news = false;
-    std::map<std::pair<TaskName, uint64_t>, MachineTask> before;
-    for (auto& t : machine.tasks) before[{t.name, t.attempt}] = t;
-    news = machine.tasks.size() != r.tasks.size();
-    machine.tasks.clear();
+    const std::vector<MachineTask> before = std::exchange(machine.tasks, {});
+    news = before.size() != r.tasks.size();
+    machine.tasks.reserve(r.tasks.size());
     machine.counted = false;
     machine.session = r.session;
     machine.seq = r.seq;
@@ -414,12 +425,12 @@
         machine.leaves_at = now + *r.notice_s;
         log::info("machine {}: spot notice, {:.0f} s left", machine.name, *r.notice_s);
     }
-    std::set<TaskName> present;
+    std::vector<const Placement*> present;
     for (const auto& t : r.tasks) {
         MachineTask x;
-        auto was = before.find({t.name, t.attempt});
-        if (was != before.end()) x = was->second;
-        TaskPhase old = was != before.end() ? was->second.phase : TaskPhase::kFetching;
+        auto was = find_attempt(before, machine.tasks.size(), t.name, t.attempt);
+        if (was != before.end()) x = *was;
+        TaskPhase old = was != before.end() ? was->phase : TaskPhase::kFetching;
         bool known_exit = was != before.end() && old == TaskPhase::kExited;
         x.name = t.name;
         x.attempt = t.attempt;
@@ -440,8 +451,8 @@
             // A gang's replacement may come to a machine that still lists an exit of the same attempt.
             if (mine && known_exit && !it->second.seen) mine = false;
             if (mine) {
-                present.insert(t.name);
                 Placement& p = it->second;
+                present.push_back(&p);
                 if (p.phase != t.phase || !p.seen)
                     log::debug("task {} attempt {} on {}: phase {}", t.name.text(), t.attempt, machine.name,
                                static_cast<int>(t.phase));
@@ -479,7 +490,7 @@
     if (absence) {
         auto tasks = on_machine(machine.name);
         for (const auto& [job, task, placement] : tasks) {
-            if (present.contains({job->spec.id, task})) continue;
+            if (std::find(present.begin(), present.end(), placement) != present.end()) continue;
             auto it = job->live.find(task);
             if (it == job->live.end()) continue;
             Placement& p = it->second;
@@ -531,9 +542,7 @@
 
 std::vector<Command> JobTable::commands(Machine& machine, bool launches) {
     std::vector<Command> out;
-    std::set<std::pair<TaskName, uint64_t>> present;
     for (const auto& t : machine.tasks) {
-        present.insert({t.name, t.attempt});
         if (quarantined(t.name.job)) continue;
         Job* job = find(t.name.job);
         if (t.phase == TaskPhase::kExited) {
@@ -557,7 +566,8 @@
         if (job->cancelled) continue;
         const std::string& id = job->spec.id;
         Placement& p = job->live.at(task);
-        if (p.stopping || p.seen || present.contains({{id, task}, p.attempt})) continue;
+        if (p.stopping || p.seen) continue;
+        if (find_attempt(machine.tasks, 0, {id, task}, p.attempt) != machine.tasks.end()) continue;
         if (!p.inherited && job->committed < p.version) continue;
         if (job->spec.gang() && job->broken) continue;
         out.push_back({CommandKind::kLaunch, {id, task}, p.attempt, 0});
--- a/src/node.cc
+++ b/src/node.cc
@@ -217,8 +217,7 @@
 Task<Response> Controller::handle_report(std::string body) {
     auto report = Report::parse(body);
     if (!report) co_return status(400);
-    Report seen = *report;
-    seen.tasks.clear();
+    ReportHead seen = *report;
     report_times_.push_back(loop_.now());
     while (report_times_.size() > constants::kPointed ||
            loop_.now() - report_times_.front() > constants::kReportWindow_s)
--- a/src/scheduler/queue.cc
+++ b/src/scheduler/queue.cc
@@ -27,6 +27,9 @@
 
 std::set<const Job*> entitled_jobs(const Config& config, const JobTable& jobs) {
     std::map<std::string, std::vector<const Job*>> by_team;
+    bool guarantees = std::any_of(config.teams.begin(), config.teams.end(),
+                                  [](const Team& t) { return t.cpus > 0 || t.gpus > 0; });
+    if (!guarantees) return {};
     for (const auto& [id, job] : jobs.all())
         if (!job->cancelled && !job->over()) by_team[job->spec.team].push_back(job.get());
     std::set<const Job*> out;
@@ -48,9 +51,9 @@
     return out;
 }
 
-std::vector<Queued> queue_order(const JobTable& jobs, const SchedulerInput& in) {
+std::vector<Queued> queue_order(const JobTable& jobs, const SchedulerInput& in,
+                                const std::set<const Job*>& entitled) {
     std::vector<Queued> q;
-    auto entitled = entitled_jobs(in.config, jobs);
     for (const auto& [id, job] : jobs.all()) {
         if (!job->waiting()) continue;
         Queued e;
--- a/src/scheduler/queue.h
+++ b/src/scheduler/queue.h
@@ -33,7 +33,8 @@
     bool aged = false;
     int lost = 0;  // aims that it misses whatever is done: after those that can still make more of them
 };
-std::vector<Queued> queue_order(const JobTable& jobs, const SchedulerInput& in);
+std::vector<Queued> queue_order(const JobTable& jobs, const SchedulerInput& in,
+                                const std::set<const Job*>& entitled);
 
 // What none of the jobs asks less than: a machine without it need not be offered to each.
 Amount least_of(const std::vector<Queued>& jobs);
--- a/src/scheduler/scheduler.cc
+++ b/src/scheduler/scheduler.cc
@@ -17,7 +17,7 @@
 
     std::vector<Binding> run() {
         entitled_ = entitled_jobs(in_.config, jobs_);
-        auto queue = queue_order(jobs_, in_);
+        auto queue = queue_order(jobs_, in_, entitled_);
         for (auto& h : cluster_.machines)
             if (h.second->usable) usable_.push_back(h.second.get());
         for (size_t i = 0; i < queue.size();) {
--- a/src/workers/workers.h
+++ b/src/workers/workers.h
@@ -30,20 +30,25 @@
     bool saved = false;
 };
 
-struct Report {
+// What a report says of the machine itself.
+struct ReportHead {
     std::string machine, addr, machine_type, zone;
     bool spot = false;
     uint64_t session = 0, seq = 0, epoch = 0;
     std::optional<Seconds> notice_s;
-    std::vector<ReportedTask> tasks;
 
-    // Nothing if the report is malformed.
-    static std::optional<Report> parse(std::string_view body);
     bool newer_than(uint64_t other_session, uint64_t other_seq) const {
         return session > other_session || (session == other_session && seq > other_seq);
     }
 };
 
+struct Report : ReportHead {
+    std::vector<ReportedTask> tasks;
+
+    // Nothing if the report is malformed.
+    static std::optional<Report> parse(std::string_view body);
+};
+
 enum class CommandKind : uint8_t { kLaunch, kStop, kForget };
 
 struct Command {
