Drive a leader with 4,000 machines in a test; ask for a cut zone's witnesses in constant time

The test registers 4,000 machines at once, fills them with 8,000 tasks, and takes them over; it checks by counts that full machines' reports ask for no pass and that a crowd of reports shares a few. A node that points workers on looked through all workers of a zone for each report.

--- a/src/node.cc
+++ b/src/node.cc
@@ -261,8 +261,15 @@
 
 bool Controller::zone_cut(const std::string& zone) {
     auto& back = came_back_[zone];
-    std::erase_if(back, [&](const auto& w) { return loop_.now() - w.second > constants::kRelayAfter_s; });
-    return back.size() >= constants::kCutWitnesses;
+    // As far as the first recent ones: asked for each report, a look at all workers of a large zone would
+    // cost the square of their number.
+    size_t recent = 0;
+    for (auto it = back.begin(); it != back.end() && recent < constants::kCutWitnesses;) {
+        bool old = loop_.now() - it->second > constants::kRelayAfter_s;
+        if (!old) ++recent;
+        it = old ? back.erase(it) : std::next(it);
+    }
+    return recent >= constants::kCutWitnesses;
 }
 
 Task<Response> Controller::relayed(std::string body) {
--- /dev/null
+++ b/tests/large_fleet_test.cc
@@ -0,0 +1,115 @@
+// A fleet of 4,000 machines on the fake clock: registration, steady reports, a take-over at which all
+// machines report at once. Checked by counts, since time on a shared machine says nothing: what a report
+// costs must not grow with the fleet, nor a pass with the reports that it serves.
+//
+// What is guarded against: a fixed limit below the largest fleet, and work for each report that looks at all
+// machines.
+#include "standins.h"
+
+using namespace hareshore;
+using namespace hareshore::test;
+
+namespace {
+
+constexpr size_t kMachines = 4000;
+constexpr size_t kJobs = 250;
+constexpr uint32_t kTasksPerJob = 32;  // together as many as the fleet has GPUs
+constexpr Seconds kTakeOver_s = 10;    // of the fake clock: election, records, two rounds of reports
+
+struct LargeFleet : testing::Test {
+    Site site{2};
+    std::vector<FakeWorker> workers{kMachines};
+
+    LargeFleet() {
+        for (Config& config : site.configs) {
+            config.sockets = 2 * kMachines;
+            config.teams[0].gpus_max = 0;
+            config.state_rps = 2000;
+            config.write_rps = 1000;
+            config.cloud_rps = 24;
+        }
+        for (size_t i = 0; i < kMachines; ++i) {
+            FakeWorker& worker = workers[i];
+            worker.name = fmt::format("vm-{:06}", i + 1);
+            worker.zone = i % 2 ? "a" : "b";
+            ListedMachine listed;
+            listed.name = worker.name;
+            listed.addr = worker.addr;
+            listed.machine_type = worker.machine_type;
+            listed.zone = worker.zone;
+            site.cloud.machines[worker.name] = listed;
+        }
+    }
+
+    std::shared_ptr<Leader> leader() {
+        int node = site.leader();
+        return node < 0 ? nullptr : site.nodes[static_cast<size_t>(node)]->leader();
+    }
+
+    static Task<void> report_once(std::shared_ptr<Leader> to, FakeWorker& worker, size_t& answered) {
+        auto report = Report::parse(worker.report());
+        Response answer = co_await to->handle_report(std::move(*report), constants::kHoldReport_s, true);
+        if (answer.status != 200) co_return;
+        worker.carry_out(answer.body);
+        ++answered;
+    }
+
+    // All machines report at once; how many were answered 200.
+    size_t all_report() {
+        size_t answered = 0;
+        Scope scope(site.loop);
+        for (FakeWorker& worker : workers) scope.spawn(report_once(leader(), worker, answered), "report");
+        site.until([&] { return scope.size() == 0; }, 5);
+        return answered;
+    }
+
+    size_t tasks_on_machines() const {
+        size_t n = 0;
+        for (const FakeWorker& worker : workers) n += worker.tasks.size();
+        return n;
+    }
+
+    void submit_jobs() {
+        for (size_t i = 0; i < kJobs; ++i) {
+            auto body = job_body(fmt::format("job-{:06}", i), [](std::map<std::string, std::string>& fields) {
+                Packer tasks;
+                fields["pieces"] = tasks.count(kTasksPerJob).take();
+            });
+            ASSERT_EQ(site.call(0, "POST", "/v2/runs", body).status, 201);
+        }
+    }
+};
+
+}  // namespace
+
+TEST_F(LargeFleet, IsFilledKeptAndTakenOver) {
+    site.start(0);
+    ASSERT_TRUE(site.until([&] { return leader() && leader()->loaded_for() > 0; }));
+    site.start(1);
+    EXPECT_EQ(all_report(), kMachines);
+    EXPECT_EQ(leader()->machines_reported(), kMachines);
+    ASSERT_TRUE(site.until([&] { return leader()->cluster().machines.at("vm-004000")->listed; }, 20));
+    submit_jobs();
+    for (int round = 0; round < 5 && tasks_on_machines() < kJobs * kTasksPerJob; ++round) all_report();
+    ASSERT_EQ(tasks_on_machines(), kJobs * kTasksPerJob);
+    all_report();  // all is known to run
+
+    // Full machines without news ask for nothing: only the passes of the clock are left.
+    Seconds began = site.loop.now();
+    uint64_t passes = leader()->passes_done();
+    EXPECT_EQ(all_report(), kMachines);
+    EXPECT_LE(leader()->passes_done() - passes, 2 + (site.loop.now() - began) / constants::kFleetTick_s);
+
+    // All reports that come to a new leader at once share a few passes, and nothing is started again.
+    site.kill(0);
+    ASSERT_TRUE(site.until([&] { return site.leader() == 1 && leader() && leader()->loaded_for() > 0; }));
+    began = site.loop.now();
+    EXPECT_EQ(all_report(), kMachines);
+    EXPECT_EQ(all_report(), kMachines) << "with this epoch known";
+    EXPECT_LE(leader()->passes_done(), 20u);
+    EXPECT_LT(site.loop.now() - began, kTakeOver_s);
+    EXPECT_EQ(tasks_on_machines(), kJobs * kTasksPerJob);
+    for (const FakeWorker& worker : workers)
+        for (const ReportedTask& task : worker.tasks) ASSERT_EQ(task.phase, TaskPhase::kRunning);
+    EXPECT_TRUE(site.cloud.deleted.empty());
+}
--- a/tests/standins.cc
+++ b/tests/standins.cc
@@ -12,6 +12,14 @@
     return {b.data(), b.size()};
 }
 
+// A parameter of the query; empty without it.
+std::string query_value(const Request& r, const std::string& name) {
+    auto at = ("&" + r.query).find("&" + name + "=");
+    if (at == std::string::npos) return "";
+    std::string rest = r.query.substr(at + name.size() + 1);
+    return rest.substr(0, rest.find('&'));
+}
+
 Response packed(int status, Packer& p) {
     return {status, p.take(), 0, "application/msgpack"};
 }
@@ -65,13 +73,6 @@
     return m ? text(*m->root().raw()) : "";
 }
 
-std::string FakeState::query(const Request& r, const std::string& name) {
-    auto at = ("&" + r.query).find("&" + name + "=");
-    if (at == std::string::npos) return "";
-    std::string rest = r.query.substr(at + name.size() + 1);
-    return rest.substr(0, rest.find('&'));
-}
-
 void FakeState::expire() {
     std::vector<uint64_t> ended;
     for (auto& [id, l] : leases_)
@@ -179,10 +180,10 @@
         co_return Response{200, "", 0, ""};
     }
     if (r.path == "/changes") {
-        std::string prefix = query(r, "prefix");
-        uint64_t from = std::stoull(query(r, "from"));
+        std::string prefix = query_value(r, "prefix");
+        uint64_t from = std::stoull(query_value(r, "from"));
         if (from < oldest) co_return Response{410, "", 0, ""};
-        Seconds end = loop_.now() + std::stod(query(r, "wait_ms")) / 1000;
+        Seconds end = loop_.now() + std::stod(query_value(r, "wait_ms")) / 1000;
         while (true) {
             expire();
             std::vector<const Event*> found;
@@ -204,7 +205,7 @@
         }
     }
     if (r.path == "/keys") {
-        std::string prefix = query(r, "prefix"), from = query(r, "from");
+        std::string prefix = query_value(r, "prefix"), from = query_value(r, "from");
         std::vector<std::pair<std::string, const Row*>> found;
         for (const auto& [k, row] : rows)
             if (k.rfind(prefix, 0) == 0 && k > from) found.emplace_back(k, &row);
@@ -261,8 +262,14 @@
         p.map(1).key("error").text("no capacity");
         co_return packed(503, p);
     }
-    p.map(2).key("hosts").list(machines.size());
-    for (const auto& [name, m] : machines) {
+    std::string from = query_value(r, "from");
+    std::string page = query_value(r, "page");
+    size_t most = page.empty() ? machines.size() : std::stoul(page);
+    auto first = machines.upper_bound(from);
+    auto left = static_cast<size_t>(std::distance(first, machines.end()));
+    p.map(2).key("hosts").list(std::min(most, left));
+    for (auto it = first; it != machines.end() && most > 0; ++it, --most) {
+        const auto& [name, m] = *it;
         p.map(7)
             .key("ref")
             .text(name)
@@ -274,7 +281,7 @@
             .text(m.zone);
         p.key("driftwood").flag(m.spot).key("phase").text("running").key("age_s").number(100);
     }
-    p.key("has_next").flag(false);
+    p.key("has_next").flag(most == 0 && !page.empty() && std::stoul(page) < left);
     co_return packed(200, p);
 }
 
--- a/tests/standins.h
+++ b/tests/standins.h
@@ -82,7 +82,6 @@
         std::string data;
         uint64_t mod_revision;
     };
-    static std::string query(const Request& r, const std::string& name);
     void expire();
 
     Loop& loop_;
