Leave reports that their workers have given up unanswered and unread

Cause: a controller more than four seconds behind finds only reports whose workers have closed the connection and gone on; taking them in costs as much as answering in time. The test fails without the check.

--- a/src/http/message.h
+++ b/src/http/message.h
@@ -11,6 +11,7 @@
 struct Request {
     std::string method, path, query, body;
     bool oversized = false;  // the body exceeds the limit and was not kept
+    bool abandoned = false;  // its sender has closed the connection: nobody waits for the answer
     std::string peer;
 };
 
@@ -44,6 +45,8 @@
     Task<bool> write(std::string_view bytes, Seconds until);
     // The peer has closed or sent something unasked, as far as the loop has been told.
     bool stale() const;
+    // The peer has closed, as far as the loop has been told.
+    bool hung_up() const { return file_->hung_up(); }
 
   private:
     Loop& loop_;
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -176,6 +176,7 @@
         c.request.path = c.url.substr(0, mark);
         if (mark != std::string::npos) c.request.query = c.url.substr(mark + 1);
         Request request = std::move(c.request);
+        request.abandoned = stream.hung_up();
         Response answer = co_await handler_(std::move(request));
         std::string out = render(answer, keep);
         if (!co_await stream.write(out, loop_.now() + constants::kWriteStall_s) || !keep) co_return;
--- a/src/node.cc
+++ b/src/node.cc
@@ -297,6 +297,9 @@
 Task<Response> Controller::handle(Request request) {
     if (request.path == "/hello") {
         if (request.method != "POST") co_return status(405);
+        // Its worker has given up and asks another node. A controller that has fallen so far behind would else
+        // spend its share on answers that nobody reads, and never catch up.
+        if (request.abandoned) co_return status(503);
         co_return co_await handle_report(std::move(request.body));
     }
     if (request.path == "/ready") {
--- a/tests/large_fleet_test.cc
+++ b/tests/large_fleet_test.cc
@@ -113,3 +113,33 @@
         for (const ReportedTask& task : worker.tasks) ASSERT_EQ(task.phase, TaskPhase::kRunning);
     EXPECT_TRUE(site.cloud.deleted.empty());
 }
+
+namespace {
+
+Task<void> send_and_leave(Loop& loop, Address to, std::string body, bool& sent) {
+    auto stream = co_await connect_to(loop, to, loop.now() + 1);
+    std::string head = "POST /hello HTTP/1.1\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+    if (stream) co_await stream->write(head + body, loop.now() + 1);
+    sent = stream != nullptr;
+}
+
+}  // namespace
+
+// A controller that falls behind by more than a worker waits finds only reports that were given up. Taking them
+// in costs as much as those that are answered, so that it would stay behind for ever.
+TEST(Overload, AReportThatItsWorkerHasGivenUpIsNotTakenIn) {
+    Site site;
+    site.start(0);
+    ASSERT_TRUE(site.until([&] { return site.leader() == 0 && site.nodes[0]->leader(); }));
+    site.run(1);
+    FakeWorker worker;
+    Scope scope(site.loop);
+    bool sent = false;
+    // The server's routine for the connection is started after both ends have done their part.
+    scope.spawn(send_and_leave(site.loop, site.configs[0].listen, worker.report(), sent), "worker");
+    ASSERT_TRUE(site.until([&] { return sent; }));
+    site.run(2);
+    EXPECT_EQ(site.nodes[0]->leader()->machines_reported(), 0u);
+    site.settle(worker);
+    EXPECT_EQ(site.nodes[0]->leader()->machines_reported(), 1u);
+}
