Run urgent routines before all others that are ready; accept connections in batches

Cause: when a fleet reported to a new leader at once, the renewal of its leadership waited behind thousands of reports and of accepted connections; the lease ended, another controller led, and the fleet reported anew. Election, the links between controllers, the watch and commits now go first, epoll is asked every 32 resumed routines, and a crowd is accepted in batches.

--- a/src/base/constants.h
+++ b/src/base/constants.h
@@ -38,7 +38,10 @@
 inline constexpr size_t kPoolWaiters = 256;    // calls queued for a connection before they fail
 inline constexpr double kAcceptPause_s = 0.1;  // pause after accept fails for want of sockets
 
-inline constexpr size_t kResumesPerTurn = 256;  // routines resumed before epoll is asked again
+inline constexpr int kEventsPerTurn = 512;     // events taken from epoll at once
+inline constexpr size_t kResumesPerTurn = 32;  // routines resumed before epoll is asked again
+inline constexpr size_t kAcceptsPerTurn =
+    16;  // connections accepted before others go on: a fleet comes at once
 
 // --- users ------------------------------------------------------------------------------------------
 inline constexpr size_t kUserCalls = 96;  // user requests worked on at once, or as many as the state service
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -114,7 +114,8 @@
 }
 
 Task<void> HttpServer::accept_all() {
-    while (true) {
+    for (size_t accepted = 1;; ++accepted) {
+        if (accepted % constants::kAcceptsPerTurn == 0) co_await loop_.yield();
         int fd = accept_from(listener_.fd());
         if (fd == -1) {
             co_await loop_.readable(listener_, -1);
--- a/src/leader/leader.cc
+++ b/src/leader/leader.cc
@@ -43,12 +43,12 @@
     cluster_.machine_types = std::move(machine_types);
 }
 
-void Leader::spawn(Task<void> task, const char* name) {
-    scope_.spawn(holding(shared_from_this(), std::move(task)), name);
+void Leader::spawn(Task<void> task, const char* name, Priority priority) {
+    scope_.spawn(holding(shared_from_this(), std::move(task)), name, priority);
 }
 
 void Leader::start() {
-    spawn(load(), "load");
+    spawn(load(), "load", Priority::kUrgent);
 }
 
 void Leader::stop() {
--- a/src/leader/leader.h
+++ b/src/leader/leader.h
@@ -86,7 +86,7 @@
     void gone(const std::vector<std::string>& names);
     Task<void> send_stops(std::string machine);
 
-    void spawn(Task<void> task, const char* name);
+    void spawn(Task<void> task, const char* name, Priority priority = Priority::kNormal);
     Task<void> run_passes();
     void request_pass();
     void step();  // matches, and sends off what came of it
--- a/src/leader/records.cc
+++ b/src/leader/records.cc
@@ -17,8 +17,8 @@
     log::info("view rebuilt from {} records in {:.0f} ms", jobs_.size(), (loaded_at_ - began) * 1000);
     ready_.notify();
     spawn(run_passes(), "scheduling passes");
-    spawn(watch(), "watch");
-    spawn(commit(), "commit");
+    spawn(watch(), "watch", Priority::kUrgent);  // the right to renew rests on it
+    spawn(commit(), "commit", Priority::kUrgent);
     spawn(raise_record_format(), "record format");
     spawn(read_prices(), "prices");
     spawn(read_machines(), "machine list");
--- a/src/loop/loop.cc
+++ b/src/loop/loop.cc
@@ -25,7 +25,7 @@
     if (timed) loop.timers_.erase(timer);
     timed = false;
     if (routine) routine->pending = nullptr;
-    loop.post(handle);
+    loop.post(handle, routine);
 }
 
 void Signal::notify() {
@@ -76,14 +76,15 @@
 
 }  // namespace
 
-void Scope::spawn(Task<void> task, std::string name) {
+void Scope::spawn(Task<void> task, std::string name, Priority priority) {
     if (state_->cancelled) return;
     auto routine = std::make_unique<Routine>();
     Routine* raw = routine.get();
+    raw->priority = priority;
     raw->place = state_->routines.insert(state_->routines.end(), raw);
     Root root = run_root(std::move(task), std::move(name), state_, std::move(routine));
     root.handle.promise().routine = raw;
-    loop_.post(root.handle);
+    loop_.post(root.handle, raw);
 }
 
 void Scope::cancel() {
@@ -109,7 +110,7 @@
 void Loop::Await::enter() {
     if (routine && routine->cancelled) {
         outcome = Wake::kCancelled;
-        loop.post(handle);
+        loop.post(handle, routine);
         return;
     }
     if (file) {
@@ -134,14 +135,15 @@
 
 bool Loop::turn(Seconds most) {
     Seconds timeout = most;
-    if (!ready_.empty()) {
+    if (any_ready()) {
         timeout = 0;
     } else if (!timers_.empty()) {
         Seconds due = std::max(0.0, timers_.begin()->first - now());
         timeout = most < 0 ? due : std::min(most, due);
     }
-    epoll_event events[64];
-    int n = clock_.wait(epoll_, events, 64, timeout);
+    // As many as there are: what is urgent among them must not wait until the others have been worked off.
+    epoll_event events[constants::kEventsPerTurn];
+    int n = clock_.wait(epoll_, events, constants::kEventsPerTurn, timeout);
     for (int i = 0; i < n; ++i) {
         auto it = files_.find(events[i].data.fd);
         if (it == files_.end()) continue;
@@ -165,14 +167,21 @@
     }
     Seconds t = now();
     while (!timers_.empty() && timers_.begin()->first <= t) timers_.begin()->second->wake(Wake::kTimeout);
-    // What is woken by what runs is run, too, before epoll is asked again; but not for ever.
+    size_t ran = resume_ready();
+    return n > 0 || ran > 0;
+}
+
+// What is woken by what runs is run, too, before epoll is asked again; but not for ever, so that what has
+// become urgent meanwhile is not kept waiting by a crowd.
+size_t Loop::resume_ready() {
     size_t ran = 0;
-    for (; !ready_.empty() && ran < constants::kResumesPerTurn; ++ran) {
-        auto h = ready_.front();
-        ready_.pop_front();
-        h.resume();
+    for (; any_ready() && ran < constants::kResumesPerTurn; ++ran) {
+        auto& queue = urgent_.empty() ? ready_ : urgent_;
+        auto handle = queue.front();
+        queue.pop_front();
+        handle.resume();
     }
-    return n > 0 || ran > 0;
+    return ran;
 }
 
 void Loop::run() {
--- a/src/loop/loop.h
+++ b/src/loop/loop.h
@@ -86,7 +86,7 @@
     Scope& operator=(const Scope&) = delete;
     ~Scope() { cancel(); }
     // Starts a routine at the next turn of the loop. After cancel() nothing is started.
-    void spawn(Task<void> task, std::string name);
+    void spawn(Task<void> task, std::string name, Priority priority = Priority::kNormal);
     void cancel();
     size_t size() const { return state_->routines.size(); }
     bool cancelled() const { return state_->cancelled; }
@@ -147,6 +147,8 @@
 
     // Until a point in time; negative: no limit.
     Await sleep(Seconds s) { return {*this, now() + s}; }
+    // Lets all others that are ready go first.
+    Await yield() { return sleep(0); }
     Await readable(File& f, Seconds until) { return {*this, until, &f, false}; }
     Await writable(File& f, Seconds until) { return {*this, until, &f, true}; }
     Await wait(Signal& s, Seconds until) { return {*this, until, nullptr, false, &s}; }
@@ -155,12 +157,17 @@
     friend struct Waiter;
     friend class File;
     friend class Scope;
-    void post(std::coroutine_handle<> h) { ready_.push_back(h); }
+    void post(std::coroutine_handle<> h, const Routine* of) {
+        bool urgent = of && of->priority == Priority::kUrgent;
+        (urgent ? urgent_ : ready_).push_back(h);
+    }
+    bool any_ready() const { return !urgent_.empty() || !ready_.empty(); }
+    size_t resume_ready();
 
     Clock& clock_;
     int epoll_;
     bool stopped_ = false;
-    std::deque<std::coroutine_handle<>> ready_;
+    std::deque<std::coroutine_handle<>> urgent_, ready_;
     std::multimap<Seconds, Waiter*> timers_;
     std::map<int, File*> files_;
     std::vector<char> read_buffer_;
--- a/src/loop/task.h
+++ b/src/loop/task.h
@@ -14,7 +14,11 @@
 
 struct Cancelled {};
 
+// Urgent routines run before all others that are ready.
+enum class Priority : unsigned char { kNormal, kUrgent };
+
 struct Routine {
+    Priority priority = Priority::kNormal;
     Waiter* pending = nullptr;  // the wait that the routine is in
     bool cancelled = false;
     std::list<Routine*>::iterator place;  // among the routines of its scope
--- a/src/node.cc
+++ b/src/node.cc
@@ -53,8 +53,9 @@
       server_(loop, config.listen, connection_limit(config),
               [this](Request r) { return handle(std::move(r)); }),
       scope_(loop) {
-    scope_.spawn(election_.run(), "election");
-    scope_.spawn(follow_election(), "leadership");
+    // Late, these would bring about a change of leader, which makes all that waits wait longer.
+    scope_.spawn(election_.run(), "election", Priority::kUrgent);
+    scope_.spawn(follow_election(), "leadership", Priority::kUrgent);
     scope_.spawn(learn_machine_types(), "machine types");
     scope_.spawn(follow_record_format(), "record format");
 }
--- a/src/peer/peers.cc
+++ b/src/peer/peers.cc
@@ -56,8 +56,8 @@
         p.who = s;
         peers_.push_back(p);
     }
-    scope_.spawn(accept_all(), "peer accept");
-    for (size_t i = 0; i < peers_.size(); ++i) scope_.spawn(dial(i), "peer link");
+    scope_.spawn(accept_all(), "peer accept", Priority::kUrgent);
+    for (size_t i = 0; i < peers_.size(); ++i) scope_.spawn(dial(i), "peer link", Priority::kUrgent);
 }
 
 void Peers::send(Link& link, const std::string& frame) {
@@ -114,8 +114,8 @@
         if (stream) {
             auto link = std::make_shared<Link>(loop_, std::move(stream));
             links_[peer] = link;
-            scope_.spawn(write_all(link), "peer writer");
-            scope_.spawn(read_all(link), "peer reader");
+            scope_.spawn(write_all(link), "peer writer", Priority::kUrgent);
+            scope_.spawn(read_all(link), "peer reader", Priority::kUrgent);
             while (link->open) {
                 peer::Heartbeat b = heartbeat_now();
                 b.asked_us = static_cast<uint64_t>(loop_.now() * 1e6);
@@ -180,14 +180,14 @@
         } else if (scope_.size() > most_routines_) {
             close(fd);
         } else {
-            scope_.spawn(serve(fd), "peer connection");
+            scope_.spawn(serve(fd), "peer connection", Priority::kUrgent);
         }
     }
 }
 
 Task<void> Peers::serve(int fd) {
     auto link = std::make_shared<Link>(loop_, std::make_unique<Stream>(loop_, fd));
-    scope_.spawn(write_all(link), "peer writer");
+    scope_.spawn(write_all(link), "peer writer", Priority::kUrgent);
     co_await read_all(link);
 }
 
--- a/tests/large_fleet_test.cc
+++ b/tests/large_fleet_test.cc
@@ -125,8 +125,8 @@
 
 }  // namespace
 
-// A controller that falls behind by more than a worker waits finds only reports that were given up. Taking them
-// in costs as much as those that are answered, so that it would stay behind for ever.
+// A controller that falls behind by more than a worker waits finds only reports that were given up. Taking
+// them in costs as much as those that are answered, so that it would stay behind for ever.
 TEST(Overload, AReportThatItsWorkerHasGivenUpIsNotTakenIn) {
     Site site;
     site.start(0);
