--- a/src/leader/leader.h
+++ b/src/leader/leader.h
@@ -92,6 +92,8 @@
     void step();  // matches, and sends off what came of it
     void note_demand();
     bool asks_for_work(Machine& machine);
+    struct Holding;
+    Task<void> join_pass(const std::string& machine, Seconds answer_by);
     Seconds silent_after() const;  // an older report shows no room
     void drain(Machine& machine);
     void wake(const std::string& machine);
--- a/src/leader/workers.cc
+++ b/src/leader/workers.cc
@@ -31,6 +31,26 @@
     request_pass();
 }
 
+// While it lives the machine's report is held: an answer can go out at once.
+struct Leader::Holding {
+    Leader& leader;
+    const std::string& machine;
+    ~Holding() {
+        if (Machine* held = leader.cluster_.machine(machine)) held->holding = false;
+    }
+};
+
+// The machine asks for work in the next scheduling pass.
+Task<void> Leader::join_pass(const std::string& machine, Seconds answer_by) {
+    Holding holding{*this, machine};
+    cluster_.machine(machine)->holding = true;
+    uint64_t round = passes_;
+    request_pass();
+    Seconds until = std::min(answer_by, loop_.now() + constants::kPassWait_s);
+    while (passes_ == round && !stopped_)
+        if (co_await loop_.wait(pass_done_, until) == Wake::kTimeout) break;
+}
+
 Task<Response> Leader::handle_report(Report r, Seconds hold, bool direct) {
     Response no{503, "", 0, "application/msgpack"};
     if (r.epoch > term_.epoch) {
@@ -68,23 +88,7 @@
     }
     news = news || first || h->current != was_current || heard != (h->unheard_since < 0);
     worker_session(name).wake.notify();  // an older report of it, if one is held, is let go
-    struct Held {
-        Leader& l;
-        const std::string& name;
-        ~Held() {
-            if (Machine* x = l.cluster_.machine(name)) x->holding = false;
-        }
-    };
-    if (news || wanted_ || asks_for_work(*h)) {
-        // It asks for work in the next scheduling pass.
-        Held held{*this, name};
-        h->holding = true;
-        uint64_t round = passes_;
-        request_pass();
-        Seconds until = std::min(began + hold, loop_.now() + constants::kPassWait_s);
-        while (passes_ == round && !stopped_)
-            if (co_await loop_.wait(pass_done_, until) == Wake::kTimeout) break;
-    }
+    if (news || wanted_ || asks_for_work(*h)) co_await join_pass(name, began + hold);
 
     // A commit is waited for from when it is needed, which may be late in a hold, but not past the time at
     // which the worker gives up.
@@ -107,7 +111,7 @@
             until = began + std::min(hold, constants::kHoldBusy_s);
         }
         if (loop_.now() >= until) break;
-        Held held{*this, name};
+        Holding holding{*this, name};
         h->holding = !commits;
         co_await loop_.wait(worker_session(name).wake, until);
     }
--- a/src/node.cc
+++ b/src/node.cc
@@ -218,7 +218,7 @@
 Task<Response> Controller::handle_report(std::string body) {
     auto report = Report::parse(body);
     if (!report) co_return status(400);
-    ReportHead seen = *report;
+    const ReportHead seen = report->head();  // the report itself is passed on
     report_times_.push_back(loop_.now());
     while (report_times_.size() > constants::kPointed ||
            loop_.now() - report_times_.front() > constants::kReportWindow_s)
@@ -298,8 +298,8 @@
 Task<Response> Controller::handle(Request request) {
     if (request.path == "/hello") {
         if (request.method != "POST") co_return status(405);
-        // Its worker has given up and asks another node. A controller that has fallen so far behind would else
-        // spend its share on answers that nobody reads, and never catch up.
+        // Its worker has given up and asks another node. A controller that has fallen so far behind would
+        // else spend its share on answers that nobody reads, and never catch up.
         if (request.abandoned) co_return status(503);
         co_return co_await handle_report(std::move(request.body));
     }
--- a/src/workers/workers.h
+++ b/src/workers/workers.h
@@ -45,6 +45,7 @@
 struct Report : ReportHead {
     std::vector<ReportedTask> tasks;
 
+    const ReportHead& head() const { return *this; }
     // Nothing if the report is malformed.
     static std::optional<Report> parse(std::string_view body);
 };
