--- a/src/base/constants.h
+++ b/src/base/constants.h
@@ -93,8 +93,8 @@
 inline constexpr size_t kAnnouncementsKept =
     1024;  // cancellations told to users that a new connection to a peer begins
            // with; more than are told within cancel_s, and they fit into a frame
-inline constexpr size_t kOutbox =
-    size_t{2} * 1024 * 1024;                // bytes waiting on a link: reports of a zone in a second
+inline constexpr size_t kOutbox = size_t{2} * 1024 * 1024;  // bytes waiting on a link, at least
+inline constexpr size_t kOutboxPerSocket = 1024;            // and a relayed report for each socket
 inline constexpr size_t kCutWitnesses = 2;  // workers that come back before their zone counts as cut
 inline constexpr size_t kFrameLimit = size_t{128} * 1024;  // bytes of a frame between controllers
 inline constexpr size_t kPointed = 10'000;                 // workers whose redirection is remembered
--- a/src/peer/peers.cc
+++ b/src/peer/peers.cc
@@ -48,6 +48,7 @@
       links_(config.peers.size()),
       incarnation_(draw_incarnation()),
       most_routines_(std::max(constants::kPeerRoutines, config.sockets)),
+      most_outbox_(std::max(constants::kOutbox, config.sockets * constants::kOutboxPerSocket)),
       news_(loop),
       listener_(loop, listen_on(config.peer_listen)),
       scope_(loop) {
@@ -60,9 +61,9 @@
     for (size_t i = 0; i < peers_.size(); ++i) scope_.spawn(dial(i), "peer link", Priority::kUrgent);
 }
 
-void Peers::send(Link& link, const std::string& frame) {
+void Peers::send(Link& link, const std::string& frame) const {
     // A link that does not drain is cut off; nothing on it is worth keeping for later.
-    if (!link.open || link.outbox.size() + frame.size() > constants::kOutbox) return link.close();
+    if (!link.open || link.outbox.size() + frame.size() > most_outbox_) return link.close();
     link.outbox += frame;
     link.more.notify();
 }
--- a/src/peer/peers.h
+++ b/src/peer/peers.h
@@ -67,7 +67,7 @@
     peer::Heartbeat heartbeat_now();
     void send_cancellations(Link& link);
     void receive_cancellations(const peer::CancellationNotice& w);
-    static void send(Link& link, const std::string& frame);
+    void send(Link& link, const std::string& frame) const;
 
     Loop& loop_;
     HeartbeatSource heartbeat_;
@@ -82,6 +82,7 @@
     uint32_t next_call_ = 1, next_heartbeat_ = 1;
     const uint64_t incarnation_;
     const size_t most_routines_;
+    const size_t most_outbox_;  // bytes waiting on a link
     Signal news_;
     File listener_;
     Scope scope_;
