--- a/tests/large_fleet_test.cc
+++ b/tests/large_fleet_test.cc
@@ -31,7 +31,7 @@
         for (size_t i = 0; i < kMachines; ++i) {
             FakeWorker& worker = workers[i];
             worker.name = fmt::format("vm-{:06}", i + 1);
-            worker.zone = i % 2 ? "a" : "b";
+            worker.zone = site.configs[0].zones[i % 2];
             ListedMachine listed;
             listed.name = worker.name;
             listed.addr = worker.addr;
