--- a/review/1/scenario.cc
+++ b/review/1/scenario.cc
@@ -40,10 +40,11 @@
 
 Task<int> scenario(Site& site) {
     Loop& loop = site.loop;
-    site.cloud->rents = true;
+    site.cloud->rents_in = {"lujan-zone", "uco-zone"};
     site.cloud->boot_s = 5;
     for (int i = 0; i < 3; ++i) site.add_machine(site.settings.zones[static_cast<size_t>(i) % 2], 300);
     for (int node = 0; node < site.settings.controllers; ++node) site.start(node);
+    if (!co_await site.all_reported(12)) co_return 2;
 
     // Two of the three machines are busy for the whole time.
     Description other = whole_machine("job-000001", "equipo-bodega", 2);
@@ -56,7 +57,7 @@
     Worker* free = nullptr;
     for (const auto& [name, machine] : site.machines)
         if (machine.worker->pieces().empty()) free = machine.worker.get();
-    if (!free) co_return 2;
+    if (!free || site.machines.size() != 3) co_return 2;
     if (trouble()) {
         free->sick = true;
         site.record.line(free->name() + " is faulty: it fails every task that it starts");
@@ -107,5 +108,5 @@
     flavor.cpus = 32, flavor.gpus = 4, flavor.memory_gb = 256;
     flavor.cache_gb = 150, flavor.fetch_gb_per_s = 1, flavor.price = 11.24, flavor.spot_price = 2.91;
     flavor.boot_s = 30, flavor.zones = settings.zones;
-    return run(argc, argv, settings, scenario, 114);
+    return run(argc, argv, settings, scenario, 116);
 }
--- a/review/standins/site.cc
+++ b/review/standins/site.cc
@@ -302,10 +302,11 @@
 
 // --- Worker
 
-Worker::Worker(Site& site, std::string name, std::string zone, Address at)
+Worker::Worker(Site& site, std::string name, std::string zone, bool spot, Address at)
     : site_(site),
       name_(std::move(name)),
       zone_(std::move(zone)),
+      spot_(spot),
       at_(at),
       wake_(site.loop),
       tasks_(site.loop) {}
@@ -374,10 +375,12 @@
             const Description& job = site_.uploaded.at(piece.job);
             Seconds age = site_.loop.now() - piece.since;
             if (piece.phase == "pulling" && age >= job.size_gb / site_.settings.flavor.fetch_gb_per_s)
-                change(piece, "running");
+                change(piece, job.shape == "ensemble" ? "gathering" : "running");
+            else if (piece.phase == "gathering" && age > site_.settings.gang_wait_s)
+                change(piece, "exited", "incomplete");
             else if (piece.phase == "running" && sick && age >= 1)
                 change(piece, "exited", "error");
-            else if (piece.phase == "running" && age >= job.run_s)
+            else if (piece.phase == "running" && job.shape == "sweep" && age >= job.run_s)
                 change(piece, "exited", "done");
             else if (piece.phase == "saving" && age >= job.flush_s)
                 change(piece, "exited", "stopped");
@@ -569,7 +572,8 @@
     if (claim.empty()) co_return error(400, "claim");
     if (auto known = claims_.find(claim); known != claims_.end())
         co_return Response{200, known->second, 0, "application/msgpack"};
-    if (!rents || root["driftwood"].flag_or(false)) co_return error(503, "no capacity");
+    if (!rents_in.contains(root["cove"].text_or("")) || root["driftwood"].flag_or(false))
+        co_return error(503, "no capacity");
     uint64_t count = std::min<uint64_t>(50, root["number"].count_or(1));
     MsgpackWriter writer;
     writer.map(1).key("hosts").list(count);
@@ -583,6 +587,12 @@
     co_return response;
 }
 
+void Cloud::take(Worker& worker) {
+    site_.machines.at(worker.name()).deleted_at = site_.loop.now();
+    site_.record.line("cloud: takes " + worker.name() + " back");
+    worker.stop();
+}
+
 Response Cloud::list(const Request& request) {
     std::string from = parameter(request, "from");
     uint64_t page = std::min<uint64_t>(500, number(parameter(request, "page"), 500));
@@ -602,7 +612,7 @@
         const Worker& worker = *machine->worker;
         writer.map(7).key("ref").text(worker.name()).key("addr").text(text_of(worker.at()));
         writer.key("flavor").text(site_.settings.flavor.name).key("cove").text(worker.zone());
-        writer.key("driftwood").flag(false);
+        writer.key("driftwood").flag(worker.spot());
         writer.key("phase").text(machine->up_at <= as_of ? "running" : "booting");
         writer.key("age_s").number(as_of - machine->created_at);
     }
@@ -624,6 +634,7 @@
     store = std::make_unique<Store>(loop, record, settings, loopback(kStoreHost, 2379));
     cloud = std::make_unique<Cloud>(*this, loopback(kStoreHost, 8443));
     for (int node = 0; node < settings.controllers; ++node) write_settings(node);
+    tasks.spawn(run_gangs(), "gangs");
 }
 
 Site::~Site() {
@@ -726,13 +737,13 @@
     worker.start();
 }
 
-Worker& Site::add_machine(const std::string& zone, Seconds age_s, Seconds boot_s) {
+Worker& Site::add_machine(const std::string& zone, Seconds age_s, Seconds boot_s, bool spot) {
     char name[32];
     std::snprintf(name, sizeof name, "vm-%06d", next_machine_);
     Address at = loopback(kWorkerHost, kWorkerPort + next_machine_);
     ++next_machine_;
     Machine& machine = machines[name];
-    machine.worker = std::make_unique<Worker>(*this, name, zone, at);
+    machine.worker = std::make_unique<Worker>(*this, name, zone, spot, at);
     machine.created_at = loop.now() - age_s;
     machine.up_at = machine.created_at + boot_s;
     if (boot_s <= 0)
@@ -747,6 +758,53 @@
     return found == machines.end() ? nullptr : found->second.worker.get();
 }
 
+// The tasks of a gang find each other by their attempt, start together, notice a loss and complete together.
+Task<void> Site::run_gangs() {
+    std::map<std::pair<std::string, uint64_t>, Seconds> lost;
+    while (true) {
+        co_await loop.sleep(0.05);
+        std::map<std::pair<std::string, uint64_t>, std::vector<std::pair<Worker*, Worker::Piece*>>> gangs;
+        for (auto& [name, machine] : machines)
+            for (auto& piece : machine.worker->pieces_to_change())
+                if (uploaded.at(piece.job).shape == "ensemble" && piece.present())
+                    gangs[{piece.job, piece.attempt}].emplace_back(machine.worker.get(), &piece);
+        for (auto& [key, members] : gangs) {
+            const Description& job = uploaded.at(key.first);
+            size_t gathering = 0, running = 0, awake = 0;
+            for (auto& [worker, piece] : members) {
+                gathering += piece->phase == "gathering" ? 1 : 0;
+                running += piece->phase == "running" ? 1 : 0;
+                awake += worker->hung() ? 0 : 1;
+            }
+            const bool whole = awake == job.pieces;
+            if (whole && gathering == job.pieces)
+                for (auto& [worker, piece] : members) worker->change(*piece, "running");
+            if (running == 0 || (whole && running == job.pieces)) {
+                lost.erase(key);
+                const bool over = running > 0 && loop.now() - members[0].second->since >= job.run_s;
+                for (auto& [worker, piece] : members)
+                    if (over) worker->change(*piece, "exited", "done");
+                continue;
+            }
+            auto since = lost.emplace(key, loop.now()).first->second;
+            for (auto& [worker, piece] : members)
+                if (loop.now() - since > settings.gang_peer_s && !worker->hung() && piece->phase == "running")
+                    worker->change(*piece, "exited", "mates_gone");
+        }
+    }
+}
+
+Task<bool> Site::all_reported(Seconds patience_s) {
+    const Seconds deadline = loop.now() + patience_s;
+    while (true) {
+        bool all = true;
+        for (const auto& [name, machine] : machines) all = all && machine.worker->accepted() >= 2;
+        if (all) co_return true;
+        if (loop.now() > deadline || !all_alive()) co_return false;
+        co_await loop.sleep(0.05);
+    }
+}
+
 // Each page says "LABEL leader LABEL fencing_token NUMBER".
 Task<int> Site::find_leader() {
     int leader = -1;
@@ -784,15 +842,25 @@
 std::string submission(const Description& job) {
     MsgpackWriter writer;
     writer.map(20).key("ref").text(job.id).key("jobclass").text(job.jobclass).key("owner").text(job.owner);
-    writer.key("shape").text("sweep").key("rank").text(job.rank).key("pieces").count(job.pieces);
+    writer.key("shape").text(job.shape).key("rank").text(job.rank).key("pieces").count(job.pieces);
     writer.key("vcpus")
         .number(job.vcpus)
         .key("cards")
         .number(job.cards)
         .key("memory_gb")
         .number(job.memory_gb);
-    writer.key("flavors").null().key("cove").null().key("one_zone").flag(false).key("apart").flag(false);
-    writer.key("driftwood").flag(false).key("bundle").text(job.bundle).key("size_gb").number(job.size_gb);
+    writer.key("flavors").null().key("cove");
+    if (job.cove.empty())
+        writer.null();
+    else
+        writer.text(job.cove);
+    writer.key("one_zone").flag(false).key("apart").flag(job.apart);
+    writer.key("driftwood")
+        .flag(job.driftwood)
+        .key("bundle")
+        .text(job.bundle)
+        .key("size_gb")
+        .number(job.size_gb);
     writer.key("expect_s").number(job.expect_s).key("snapshot_s").number(job.snapshot_s);
     writer.key("flush_s").number(job.flush_s).key("due_s").null();
     return writer.take();
--- a/review/standins/site.h
+++ b/review/standins/site.h
@@ -112,6 +112,8 @@
 struct Description {
     std::string id;
     uint32_t pieces = 1;
+    std::string shape = "sweep", cove;  // no cove: any zone
+    bool apart = false, driftwood = false;
     double vcpus = 1, cards = 0, memory_gb = 1, size_gb = 1, run_s = 60;
     double expect_s = 60, snapshot_s = 0, flush_s = 0;
     std::string owner, bundle, rank = "standard", jobclass = "c";
@@ -121,7 +123,7 @@
 
 class Worker {
   public:
-    Worker(Site& site, std::string name, std::string zone, Address at);
+    Worker(Site& site, std::string name, std::string zone, bool spot, Address at);
     void start();
     void stop();  // the machine is gone, and everything on it
     // A hanging machine does nothing: it neither sends nor answers, runs no task and ends none.
@@ -137,11 +139,16 @@
         Seconds since = 0;  // when the phase began
         [[nodiscard]] std::string name() const { return job + "/" + std::to_string(number); }
         // On the machine: from when it has its image until it exits.
-        [[nodiscard]] bool present() const { return phase == "running" || phase == "saving"; }
+        [[nodiscard]] bool present() const {
+            return phase == "gathering" || phase == "running" || phase == "saving";
+        }
     };
     [[nodiscard]] const std::vector<Piece>& pieces() const { return pieces_; }
     [[nodiscard]] const std::string& name() const { return name_; }
     [[nodiscard]] const std::string& zone() const { return zone_; }
+    [[nodiscard]] bool spot() const { return spot_; }
+    void change(Piece& piece, const std::string& phase, const std::string& cause = "");
+    std::vector<Piece>& pieces_to_change() { return pieces_; }
     [[nodiscard]] Address at() const { return at_; }
     [[nodiscard]] bool gone() const { return gone_; }
     [[nodiscard]] bool hung() const { return hung_; }
@@ -154,11 +161,11 @@
     Task<Response> handle(Request request);
     std::string packed_report();
     void execute(const MsgpackValue& orders);
-    void change(Piece& piece, const std::string& phase, const std::string& cause = "");
     void check_lease();
 
     Site& site_;
     std::string name_, zone_;
+    bool spot_;
     Address at_;
     uint64_t tenure_ = 1, tick_ = 0, epoch_ = 0;
     std::vector<Piece> pieces_;
@@ -177,7 +184,8 @@
   public:
     Cloud(Site& site, Address at);
     void stop();
-    bool rents = false;  // whether there is capacity for more machines
+    std::set<std::string> rents_in;  // zones with capacity for more machines, ordinary ones only
+    void take(Worker& worker);       // a spot machine, without a notice
     Seconds boot_s = 20;
 
   private:
@@ -206,8 +214,10 @@
     [[nodiscard]] bool all_alive();
 
     // --- Machines.
-    Worker& add_machine(const std::string& zone, Seconds age_s, Seconds boot_s = 0);
+    Worker& add_machine(const std::string& zone, Seconds age_s, Seconds boot_s = 0, bool spot = false);
     Worker* find(const std::string& name);
+    // Whether every machine's reports have been answered with 200 twice within this time.
+    Task<bool> all_reported(Seconds patience_s);
 
     // --- Users.
     Task<CallResult> ask(std::string method, std::string path, std::string body, Seconds timeout);
@@ -239,6 +249,7 @@
     void write_settings(int node);
     Task<void> return_later(int node, Seconds after);
     Task<void> boot(Worker& worker, Seconds after);
+    Task<void> run_gangs();
 
     std::string program_;
     std::vector<pid_t> pids_;
