--- a/review/3/scenario.cc
+++ b/review/3/scenario.cc
@@ -35,6 +35,7 @@
     Loop& loop = site.loop;
     for (int i = 0; i < 6; ++i) site.add_machine(site.settings.zones[static_cast<size_t>(i) % 2], 300);
     for (int node = 0; node < site.settings.controllers; ++node) site.start(node);
+    if (!co_await site.all_reported(15)) co_return 2;
 
     Description job;
     job.id = "job-000001";
