Log why a machine that holds a task of a cancelled job is not deleted yet

Change: the event `cancelled_task_remains` with `cancelled_s`, `receiving_s` and `waits_for`. The stops and deletions for cancelled tasks move from FleetScaler to CancelledTaskReaper; the decision is unchanged.

--- a/src/fleet/cancelled_tasks.h
+++ b/src/fleet/cancelled_tasks.h
@@ -1,22 +1,42 @@
 // Machines that may still run a task of a cancelled job. No I/O; time is a parameter.
 #pragma once
+#include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "cluster/cluster.h"
 #include "config/config.h"
 #include "jobs/job_table.h"
+#include "model/task_name.h"
 
 namespace hareshore {
 
-// Returns the sorted names of machines that still have a task of a cancelled job after every lease that may
-// have been granted to them has expired. By then a task that could be stopped has ended, and a worker that
-// reaches no controller has stopped its tasks at lease expiry. A task that is still recorded may be running
-// on a hung machine, and only deleting the machine ends it. This applies to machines in partitioned zones
-// as well, and is early enough for the cloud to be slow or unavailable for a while within cancel_s.
-[[nodiscard]] std::vector<std::string> machines_with_cancelled_tasks(const Cluster& cluster,
-                                                                     const JobTable& jobs,
-                                                                     const Config& config, Seconds now,
-                                                                     Seconds receiving_since);
+// What has to happen before a machine with a task of a cancelled job is deleted.
+enum class DeletionCondition : uint8_t {
+    kNone,         // nothing: the machine is due
+    kLeaseExpiry,  // every lease that may have been granted to the machine expires
+    kHeartbeats,   // its worker has time for a heartbeat, because this leader is new or its process was
+                   // stalled
+    kCloud,        // the cloud confirms the deletion, which has begun
+};
+
+[[nodiscard]] std::string_view deletion_condition_text(DeletionCondition condition);
+
+struct MachineWithCancelledTask {
+    std::string machine;
+    TaskName task;              // one of the tasks of cancelled jobs on it
+    Seconds cancelled_for = 0;  // since this leader has known of the cancellation
+    DeletionCondition waits_for = DeletionCondition::kNone;
+};
+
+// Returns the machines that still have a task of a cancelled job, sorted by name. They are due for deletion
+// after every lease that may have been granted to them has expired. By then a task that could be stopped has
+// ended, and a worker that reaches no controller has stopped its tasks at lease expiry. A task that is still
+// recorded may be running on a hung machine, and only deleting the machine ends it. This applies to machines
+// in partitioned zones as well, and is early enough for the cloud to be slow or unavailable for a while
+// within cancel_s.
+[[nodiscard]] std::vector<MachineWithCancelledTask> machines_with_cancelled_tasks(
+    const Cluster& cluster, const JobTable& jobs, const Config& config, Seconds now, Seconds receiving_since);
 
 }  // namespace hareshore
--- a/src/leader/fleet_scaler.cc
+++ b/src/leader/fleet_scaler.cc
@@ -24,8 +24,7 @@
         co_await dependencies_.loop.sleep(constants::kScalingInterval_s);
         record_stall(dependencies_.loop.now() - sleep_started_at - constants::kScalingInterval_s);
         dependencies_.pass_requests.request();  // a delayed task may have become due
-        delete_machines_with_cancelled_tasks();
-        resend_stops_of_cancelled();
+        dependencies_.cancelled_task_reaper.run_once(receiving_since());
         if (may_scale()) scale();
     }
 }
@@ -42,27 +41,6 @@
     return stalled_until_.value_or(dependencies_.lifecycle.loaded_at());
 }
 
-void FleetScaler::resend_stops_of_cancelled() {
-    const Seconds now = dependencies_.loop.now();
-    const Seconds interval = dependencies_.config.heartbeat_interval_s;
-    if (stops_resent_at_ && now - *stops_resent_at_ < interval) return;
-    stops_resent_at_ = now;
-    dependencies_.jobs.resend_stops_of_cancelled(now - interval);
-}
-
-// This must also work without a confirmed lease, while the store is unavailable to all controllers. If no
-// peer has seen a later term, there is no other leader whose work could be undone. Even if there were one,
-// the deletion would be safe, since a deleted machine runs no task.
-void FleetScaler::delete_machines_with_cancelled_tasks() {
-    if (!dependencies_.leadership.lease_confirmed() && !dependencies_.leadership.no_other_leader()) return;
-    std::vector<ScaleInDecision> decisions;
-    for (auto& name :
-         machines_with_cancelled_tasks(dependencies_.cluster, dependencies_.jobs, dependencies_.config,
-                                       dependencies_.loop.now(), receiving_since()))
-        decisions.push_back({std::move(name), ScaleInReason::kHoldsCancelledTask, true});
-    dependencies_.deletion.start(decisions);
-}
-
 // A leader that was partitioned or stalled may have been replaced. Renting and deleting machines by its
 // outdated view would undo its successor's work: a leader that was partitioned for 120 s deleted the whole
 // fleet.
--- a/src/leader/fleet_scaler.h
+++ b/src/leader/fleet_scaler.h
@@ -4,6 +4,7 @@
 #include <optional>
 #include <string>
 
+#include "leader/cancelled_task_reaper.h"
 #include "leader/fleet_report.h"
 #include "leader/machine_deletion.h"
 #include "leader/machine_rental.h"
@@ -26,6 +27,7 @@
         SchedulingLoop& scheduling;
         MachineRental& rental;
         MachineDeletion& deletion;
+        CancelledTaskReaper& cancelled_task_reaper;
         FleetReport& report;
     };
     explicit FleetScaler(const Dependencies& dependencies) : dependencies_(dependencies) {}
@@ -35,8 +37,6 @@
 
   private:
     void record_stall(Seconds stalled_s);
-    void resend_stops_of_cancelled();
-    void delete_machines_with_cancelled_tasks();
     [[nodiscard]] bool may_scale() const;
     void scale();
     void log_partitions(const ScalingPlan& plan);
@@ -45,7 +45,6 @@
 
     const Dependencies dependencies_;
     std::optional<Seconds> stalled_until_;           // the end of this process's last stall
-    std::optional<Seconds> stops_resent_at_;         // of cancelled jobs
     std::map<std::string, Seconds> partitioned_at_;  // by zone: when it was last considered partitioned
 };
 
--- a/src/leader/leader.cc
+++ b/src/leader/leader.cc
@@ -89,6 +89,12 @@
                          .connections = connections_,
                          .deleted_machines = deleted_machines_,
                          .pass_requests = pass_requests_}),
+      cancelled_task_reaper_({.loop = environment.loop,
+                              .config = environment.config,
+                              .leadership = *leadership_,
+                              .jobs = jobs_,
+                              .cluster = cluster_,
+                              .deletion = machine_deletion_}),
       fleet_report_(
           {.loop = environment.loop, .jobs = jobs_, .cluster = cluster_, .scheduling = scheduling_loop_}),
       fleet_scaler_({.loop = environment.loop,
@@ -103,6 +109,7 @@
                      .scheduling = scheduling_loop_,
                      .rental = machine_rental_,
                      .deletion = machine_deletion_,
+                     .cancelled_task_reaper = cancelled_task_reaper_,
                      .report = fleet_report_}) {
     cluster_.machine_types = std::move(machine_types);
 }
--- a/src/leader/leader.h
+++ b/src/leader/leader.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "leader/cancellation_guard.h"
+#include "leader/cancelled_task_reaper.h"
 #include "leader/cloud_inventory.h"
 #include "leader/deleted_machines.h"
 #include "leader/fleet_scaler.h"
@@ -85,6 +86,7 @@
     CloudInventory cloud_inventory_;
     MachineRental machine_rental_;
     MachineDeletion machine_deletion_;
+    CancelledTaskReaper cancelled_task_reaper_;
     FleetReport fleet_report_;
     FleetScaler fleet_scaler_;
 };
--- a/tests/fleet/scaling_plan_test.cc
+++ b/tests/fleet/scaling_plan_test.cc
@@ -109,10 +109,13 @@
 // a hung machine. The machine must be deleted soon enough for cancel_s, even if its zone is silent.
 TEST_F(ScalingPlanRules, MachineWithCancelledTaskIsDueForDeletionAfterLeaseExpiry) {
     config.cancel_s = 49;
+    using Names = std::vector<std::string>;
     auto due = [&](Seconds receiving_since) {
-        return machines_with_cancelled_tasks(cluster, jobs, config, now, receiving_since);
+        Names names;
+        for (const auto& held : machines_with_cancelled_tasks(cluster, jobs, config, now, receiving_since))
+            if (held.waits_for == DeletionCondition::kNone) names.push_back(held.machine);
+        return names;
     };
-    using Names = std::vector<std::string>;
     for (int i = 0; i < 6; ++i) add_machine("vm-" + std::to_string(i)).last_heartbeat = now;
     Job& job = add_job(job_spec("job-1", 1), {{0, {3, "vm-1", "a"}}});
     add_job(job_spec("job-2", 1), {{0, {3, "vm-2", "a"}}});
