Count the time for deleting machines with cancelled tasks from the cancellation

Cause: every time of the rule that deletes such a machine began anew with each leader. The record did not say when the job had been cancelled, and a new leader waited 2.2 report_s (11 s) for heartbeats, whatever was left of cancel_s. It led for about 9 s, so that none came to the end of the wait.

Change: the controller that commits a cancellation writes the time into the record. Every leader counts from there and ends its wait for heartbeats 17 s before the end of cancel_s, after 3 s at the least. The field is optional: earlier versions ignore and drop it, and a leader that inherits a cancellation without it takes it for a lease old and records that. The last part of MachineWithCancelledTaskIsDueForDeletionAfterLeaseExpiry sets the time that RecordWatch assumes; RecordReading.MissingTimeOfCancellationCountsAsOld holds the assumption with a real leader.

--- a/src/config/config.cc
+++ b/src/config/config.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "base/constants.h"
 #include "config/text_file.h"
 
 namespace hareshore {
@@ -24,6 +25,10 @@
     return std::min(value_bytes, next_value_bytes);
 }
 
+Seconds Config::certain_lease_expiry_s() const {
+    return lease_s * (1 + constants::kClockDriftRate) + constants::kLeaseExpiryMargin_s;
+}
+
 Config Config::load(const std::string& path) {
     return parse(read_text_file(path));
 }
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -50,6 +50,8 @@
     // The tasks of a gang must be notified of the end of one of them within this time. Only validated.
     Seconds gang_peer_s = 0;
     Seconds cancel_s = 0;  // the tasks of a cancelled job must have stopped within this time; above lease_s
+    // The time after which a lease granted to a worker has certainly expired on this controller's clock.
+    [[nodiscard]] Seconds certain_lease_expiry_s() const;
 
     double store_rps = 0;    // requests per second that the store allows to all controllers together
     double write_rps = 0;    // writes per second: the smaller of the current and the announced limit
--- a/src/fleet/cancelled_tasks.cc
+++ b/src/fleet/cancelled_tasks.cc
@@ -1,5 +1,6 @@
 #include "fleet/cancelled_tasks.h"
 
+#include <algorithm>
 #include <map>
 
 #include "base/constants.h"
@@ -8,31 +9,27 @@
 
 namespace {
 
-class Deadlines {
-  public:
-    Deadlines(const Config& config, Seconds now, Seconds receiving_since)
-        : lease_expiry_(config.lease_s * (1 + constants::kClockDriftRate) + constants::kLeaseExpiryMargin_s),
-          silent_after_(constants::kSilentAfterHeartbeatIntervals * config.heartbeat_interval_s),
-          now_(now),
-          receiving_since_(receiving_since) {}
-
-    [[nodiscard]] DeletionCondition condition(const Job& job, const Machine& machine) const {
-        if (machine.deleting) return DeletionCondition::kCloud;
-        if (now_ - receiving_since_ <= silent_after_) return DeletionCondition::kHeartbeats;
-        // If this leader inherited the cancellation or learned of it late, the user may have been told
-        // long before; then the time since the machine's last heartbeat counts.
-        bool never_reported = job.cancelled_before_term && !machine.heartbeat_received;
-        bool expired =
-            now_ - machine.last_heartbeat > lease_expiry_ || now_ - job.cancellation_known_at > lease_expiry_;
-        return never_reported || expired ? DeletionCondition::kNone : DeletionCondition::kLeaseExpiry;
-    }
+// How long a leader that is new, or whose process was stalled, waits for the heartbeat of a machine with a
+// task of this job. The wait ends early enough to delete the machine within cancel_s. Once that has passed,
+// there is nothing to hurry for.
+Seconds heartbeat_wait(const Job& job, const Config& config, Seconds now, Seconds receiving_since) {
+    const Seconds silent_after = constants::kSilentAfterHeartbeatIntervals * config.heartbeat_interval_s;
+    const Seconds must_end_at = job.cancelled_at + config.cancel_s;
+    if (now >= must_end_at) return silent_after;
+    const Seconds latest = must_end_at - constants::kCancelledTaskDeletionMargin_s;
+    return std::min(silent_after, std::max(latest - receiving_since, constants::kMinHeartbeatWait_s));
+}
 
-  private:
-    Seconds lease_expiry_;
-    Seconds silent_after_;
-    Seconds now_;
-    Seconds receiving_since_;
-};
+DeletionCondition condition_for(const Job& job, const Machine& machine, const Config& config, Seconds now,
+                                Seconds receiving_since) {
+    if (machine.deleting) return DeletionCondition::kCloud;
+    const Seconds expiry = config.certain_lease_expiry_s();
+    if (now - job.cancelled_at <= expiry && now - machine.last_heartbeat <= expiry)
+        return DeletionCondition::kLeaseExpiry;
+    if (now - receiving_since <= heartbeat_wait(job, config, now, receiving_since))
+        return DeletionCondition::kHeartbeats;
+    return DeletionCondition::kNone;
+}
 
 }  // namespace
 
@@ -54,7 +51,6 @@
                                                                     const JobTable& jobs,
                                                                     const Config& config, Seconds now,
                                                                     Seconds receiving_since) {
-    const Deadlines deadlines(config, now, receiving_since);
     std::map<std::string, MachineWithCancelledTask> found;  // by machine
     for (const auto& [id, job] : jobs.all()) {
         if (!job->cancelled) continue;
@@ -64,8 +60,8 @@
             const Machine& machine = *entry->second;
             MachineWithCancelledTask held{machine.name,
                                           {id, task},
-                                          now - job->cancellation_known_at,
-                                          deadlines.condition(*job, machine)};
+                                          now - job->cancelled_at,
+                                          condition_for(*job, machine, config, now, receiving_since)};
             auto [known, added] = found.try_emplace(machine.name, held);
             if (!added && held.waits_for == DeletionCondition::kNone) known->second = held;
         }
--- a/src/fleet/cancelled_tasks.h
+++ b/src/fleet/cancelled_tasks.h
@@ -16,8 +16,7 @@
 enum class DeletionCondition : uint8_t {
     kNone,         // nothing: the machine is due
     kLeaseExpiry,  // every lease that may have been granted to the machine expires
-    kHeartbeats,   // its worker has time for a heartbeat, because this leader is new or its process was
-                   // stalled
+    kHeartbeats,   // its worker has time for a heartbeat: this leader is new or its process was stalled
     kCloud,        // the cloud confirms the deletion, which has begun
 };
 
@@ -26,7 +25,7 @@
 struct MachineWithCancelledTask {
     std::string machine;
     TaskName task;              // one of the tasks of cancelled jobs on it
-    Seconds cancelled_for = 0;  // since this leader has known of the cancellation
+    Seconds cancelled_for = 0;  // since the cancellation was recorded
     DeletionCondition waits_for = DeletionCondition::kNone;
 };
 
@@ -36,6 +35,10 @@
 // recorded may be running on a hung machine, and only deleting the machine ends it. This applies to machines
 // in partitioned zones as well, and is early enough for the cloud to be slow or unavailable for a while
 // within cancel_s.
+//
+// All times count from the recorded cancellation, not from the beginning of this leader's term, so that a
+// machine is deleted in time however often the leader changes. `receiving_since`: since when heartbeats could
+// be received.
 [[nodiscard]] std::vector<MachineWithCancelledTask> machines_with_cancelled_tasks(
     const Cluster& cluster, const JobTable& jobs, const Config& config, Seconds now, Seconds receiving_since);
 
--- a/src/jobs/job.cc
+++ b/src/jobs/job.cc
@@ -46,6 +46,7 @@
     record.spec = spec;
     record.accepted_wall = accepted_wall;
     record.cancelled = cancelled;
+    if (cancelled) record.cancelled_wall = WallTime{accepted_wall.since_epoch + (cancelled_at - accepted)};
     record.done = done;
     record.next_attempt = next_attempt;
     for (const auto& [task, placement] : live)
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -24,8 +24,9 @@
     Seconds accepted = 0;  // on this process's monotonic clock
 
     bool cancelled = false;
-    Seconds cancellation_known_at = 0;   // on this leader; the user may have got the confirmation earlier
-    bool cancelled_before_term = false;  // already in the first record read: confirmed at an unknown time
+    // When the cancellation was recorded, on this process's monotonic clock; it may be before this term. No
+    // later than its user was told.
+    Seconds cancelled_at = 0;
 
     // Each task is done, pending (neither done nor placed) or placed.
     Ranges done;
--- a/src/jobs/job_table.cc
+++ b/src/jobs/job_table.cc
@@ -7,6 +7,15 @@
 
 namespace hareshore {
 
+namespace {
+
+// The time of a record's cancellation on the monotonic clock. A record without it counts as cancelled now.
+Seconds cancellation_time(const JobRecord& record, Seconds now, WallTime wall) {
+    return now - std::max(0.0, wall - record.cancelled_wall.value_or(wall));
+}
+
+}  // namespace
+
 Job* JobTable::find(const std::string& id) {
     auto it = jobs_.find(id);
     return it == jobs_.end() ? nullptr : it->second.get();
@@ -24,7 +33,7 @@
         // Apart from this leader only users' requests change a record, and only to cancel the job.
         uint64_t& known_revision = entry->persistence.mod_revision;
         known_revision = std::max(known_revision, mod_revision);
-        if (record.cancelled && !entry->cancelled) cancel(*entry, now);
+        if (record.cancelled) cancel(*entry, cancellation_time(record, now, wall), now);
         return *entry;
     }
     entry = std::make_unique<Job>();
@@ -45,10 +54,7 @@
     for (uint32_t task = 0; task < record.spec.tasks && !job.done.empty(); ++task)
         if (job.done.has(task)) job.pending.remove(task);
     load_placements(job, record, now);
-    if (record.cancelled) {
-        cancel(job, now);
-        job.cancelled_before_term = true;
-    }
+    if (record.cancelled) cancel(job, cancellation_time(record, now, wall), now);
     return job;
 }
 
@@ -155,9 +161,13 @@
     while (!job.live.empty()) release(job, job.live.begin()->first, now);
 }
 
-void JobTable::cancel(Job& job, Seconds now) {
-    if (!job.cancelled) job.cancellation_known_at = now;
+void JobTable::cancel(Job& job, Seconds cancelled_at, Seconds now) {
+    if (job.cancelled) {
+        job.cancelled_at = std::min(job.cancelled_at, cancelled_at);
+        return;
+    }
     job.cancelled = true;
+    job.cancelled_at = cancelled_at;
     for (auto& [task, placement] : job.live) begin_stop(placement, 0);
     // Release placements that cannot be on a machine: this leader bound them and never sent their launch.
     for (auto entry = job.live.begin(); entry != job.live.end();) {
@@ -170,7 +180,7 @@
 
 void JobTable::resend_stops_of_cancelled(Seconds cancelled_until) {
     for (const auto& [id, job] : jobs_) {
-        if (!job->cancelled || job->cancellation_known_at > cancelled_until) continue;
+        if (!job->cancelled || job->cancelled_at > cancelled_until) continue;
         for (const auto& [task, placement] : job->live) machines_with_new_stops_.insert(placement.machine);
     }
 }
--- a/src/jobs/job_table.h
+++ b/src/jobs/job_table.h
@@ -61,7 +61,9 @@
     // --- Task transitions; see jobs/task_lifecycle.h.
     // Places a pending task. The caller has checked that the record has room for it (Job::record_has_room).
     Placement& bind(Job& job, uint32_t task, const Machine& machine, uint64_t attempt, Seconds now);
-    void cancel(Job& job, Seconds now);
+    // Cancels the job and begins to stop its tasks. `cancelled_at`: when the cancellation was recorded; of
+    // several such times for a job the earliest counts.
+    void cancel(Job& job, Seconds cancelled_at, Seconds now);
     // Begins to stop a placed task, or its whole gang.
     void stop(Job& job, uint32_t task, StopMode mode);
     // Frees the placements on a machine whose deletion the cloud has confirmed.
--- a/src/jobs/record.h
+++ b/src/jobs/record.h
@@ -30,12 +30,18 @@
     JobSpec spec;
     WallTime accepted_wall;
     bool cancelled = false;
+    // When the cancellation was recorded: no later than its user was told. std::nullopt if the job is not
+    // cancelled, or if the controller that wrote the record runs a version that does not know this field.
+    std::optional<WallTime> cancelled_wall;
     Ranges done;
     uint64_t next_attempt = 1;
     std::map<uint32_t, PlacementRecord> live;  // by task
 
     [[nodiscard]] JobPhase phase() const;
     [[nodiscard]] std::string pack(uint64_t record_format) const;
+    // Packs the record, without the time of its cancellation if it would not fit otherwise. std::nullopt if
+    // its JSON text exceeds `max_json_bytes` nevertheless.
+    [[nodiscard]] std::optional<std::string> pack_within(size_t max_json_bytes, uint64_t record_format) const;
     // std::nullopt if the record is malformed or in a format newer than kNewestRecordFormat.
     [[nodiscard]] static std::optional<JobRecord> unpack(const std::string& packed);
 };
--- a/src/jobs/record_wire.cc
+++ b/src/jobs/record_wire.cc
@@ -156,7 +156,7 @@
     constexpr size_t kFormat1Fields = 26;
     constexpr size_t kFormat2Fields = 28;
     MsgpackWriter packer;
-    packer.map(record_format < 2 ? kFormat1Fields : kFormat2Fields);
+    packer.map((record_format < 2 ? kFormat1Fields : kFormat2Fields) + (cancelled_wall ? 1 : 0));
     pack_spec(packer, spec);
     packer.key("at").number(accepted_wall.since_epoch);
     packer.key("withdrawn").flag(cancelled);
@@ -168,6 +168,8 @@
         pack_compact_placements(packer, live);
     }
     packer.key("v").count(record_format);
+    // Versions that do not know this field ignore it, and drop it when they write the record.
+    if (cancelled_wall) packer.key("withdrawn_at").number(cancelled_wall->since_epoch);
     return packer.take();
 }
 
@@ -188,6 +190,8 @@
     record.spec = std::move(*spec);
     record.accepted_wall = {fields["at"].number_or(0)};
     record.cancelled = fields["withdrawn"].flag_or(false);
+    if (auto cancelled_at = fields["withdrawn_at"].number(); record.cancelled && cancelled_at)
+        record.cancelled_wall = WallTime{*cancelled_at};
     record.done = std::move(*done);
     record.next_attempt = std::max<uint64_t>(1, fields["next"].count_or(1));
     record.live = std::move(*live);
--- a/src/leader/cancellation_guard.cc
+++ b/src/leader/cancellation_guard.cc
@@ -14,10 +14,16 @@
     Job* job = dependencies_.jobs.find(job_id);
     if (!job || job->cancelled) return;
     log::info("job_cancelled", {{"job", job_id}, {"by", "confirmation_to_user"}});
-    dependencies_.jobs.cancel(*job, dependencies_.loop.now());
+    const Seconds now = dependencies_.loop.now();
+    dependencies_.jobs.cancel(*job, now, now);
     dependencies_.pass_requests.request();
 }
 
+std::optional<Seconds> CancellationGuard::observed_at(const std::string& job_id) const {
+    auto observed = observed_at_.find(job_id);
+    return observed == observed_at_.end() ? std::nullopt : std::optional(observed->second);
+}
+
 void CancellationGuard::on_changes_read(Seconds requested_at) {
     Seconds known_until = std::max(records_known_until_.value_or(requested_at), requested_at);
     records_known_until_ = known_until;
--- a/src/leader/cancellation_guard.h
+++ b/src/leader/cancellation_guard.h
@@ -30,8 +30,8 @@
     // Records that this controller or a peer is confirming the cancellation to its user, and stops the job's
     // tasks without waiting for the store.
     void observe(const std::string& job_id);
-    // Whether the job's cancellation was observed and may be missing from the records read so far.
-    [[nodiscard]] bool observed(const std::string& job_id) const { return observed_at_.contains(job_id); }
+    // When the job's cancellation was observed, if it was and may be missing from the records read so far.
+    [[nodiscard]] std::optional<Seconds> observed_at(const std::string& job_id) const;
 
     // All records were read; the first request was sent at `requested_at`.
     void on_records_read(Seconds requested_at) { records_known_until_ = requested_at; }
--- a/src/leader/leader.cc
+++ b/src/leader/leader.cc
@@ -22,6 +22,7 @@
                            .jobs = jobs_,
                            .pass_requests = pass_requests_}),
       record_watch_({.loop = environment.loop,
+                     .config = environment.config,
                      .store = environment.store,
                      .jobs = jobs_,
                      .cluster = cluster_,
--- a/src/leader/record_watch.cc
+++ b/src/leader/record_watch.cc
@@ -61,17 +61,26 @@
         return;
     }
     if (finished_.ended_after(record->spec.id, change.mod_revision)) return;
-    Seconds now = dependencies_.loop.now();
-    Job& job = dependencies_.jobs.load(*record, change.mod_revision, now, dependencies_.loop.wall());
+    const Seconds now = dependencies_.loop.now();
+    const WallTime wall = dependencies_.loop.wall();
+    set_missing_cancellation_time(*record, wall);
+    Job& job = dependencies_.jobs.load(*record, change.mod_revision, now, wall);
     // The record was read before the job was cancelled; the cancellation has since been confirmed.
-    if (!job.cancelled && dependencies_.cancellations.observed(job.spec.id))
-        dependencies_.jobs.cancel(job, now);
+    const std::optional<Seconds> observed_at = dependencies_.cancellations.observed_at(job.spec.id);
+    if (!job.cancelled && observed_at) dependencies_.jobs.cancel(job, *observed_at, now);
     for (const auto& [task, placement] : job.live) {
         Machine& machine = dependencies_.cluster.find_or_add(placement.machine, now);
         if (machine.zone.empty()) machine.zone = placement.zone;
     }
 }
 
+// Earlier versions do not record when a job was cancelled. A cancellation that this leader inherits without
+// that time counts as older than every lease that was granted before it.
+void RecordWatch::set_missing_cancellation_time(JobRecord& record, WallTime wall) const {
+    if (!record.cancelled || record.cancelled_wall || dependencies_.jobs.find(record.spec.id)) return;
+    record.cancelled_wall = WallTime{wall.since_epoch - dependencies_.config.certain_lease_expiry_s()};
+}
+
 void RecordWatch::quarantine(const KeyChange& change) {
     std::string job_id = change.key.substr(kLivePrefix.size());
     if (!dependencies_.jobs.unreadable(job_id))
--- a/src/leader/record_watch.h
+++ b/src/leader/record_watch.h
@@ -14,6 +14,7 @@
     // All must outlive the watch.
     struct Dependencies {
         Loop& loop;
+        const Config& config;
         StoreClient& store;
         JobTable& jobs;
         Cluster& cluster;
@@ -34,6 +35,7 @@
 
   private:
     void apply(const KeyChange& change);
+    void set_missing_cancellation_time(JobRecord& record, WallTime wall) const;
     void quarantine(const KeyChange& change);
 
     const Dependencies dependencies_;
--- a/src/leader/record_writer.cc
+++ b/src/leader/record_writer.cc
@@ -4,7 +4,6 @@
 
 #include "base/constants.h"
 #include "base/log.h"
-#include "http/json_size.h"
 
 namespace hareshore {
 
@@ -118,16 +117,17 @@
 // Returns false if the record cannot be written now.
 bool RecordWriter::add_live_record(Job& job, Transaction& transaction) {
     if (job.persistence.write_deferred(record_format_)) return false;
-    std::string data = job.to_record().pack(record_format_);
+    std::optional<std::string> data =
+        job.to_record().pack_within(dependencies_.config.value_limit(record_format_), record_format_);
     // A record that the store would refuse for its size is not sent. Until the job's next change the stored
     // record may list tasks as live that have ended, but it never lacks a live task, since task starts are
     // limited by the record's free space.
-    if (json_size(data) > dependencies_.config.value_limit(record_format_)) {
+    if (!data) {
         defer(job, job.persistence.version, DeferReason::kTooLarge);
         return false;
     }
     const std::string key = live_key(job.spec.id);
-    transaction.expect_revision(key, job.persistence.mod_revision).put(key, std::move(data));
+    transaction.expect_revision(key, job.persistence.mod_revision).put(key, std::move(*data));
     return true;
 }
 
--- a/src/users/job_requests.cc
+++ b/src/users/job_requests.cc
@@ -5,7 +5,6 @@
 
 #include "base/constants.h"
 #include "base/log.h"
-#include "http/json_size.h"
 
 namespace hareshore {
 
@@ -18,13 +17,11 @@
 
 // The packed record; none if it exceeds the key-value store's value limit.
 std::optional<std::string> pack_within_limit(JobRecord& record, const Config& config, uint64_t format) {
-    std::string packed = record.pack(format);
-    if (json_size(packed) <= config.value_limit(format)) return packed;
+    std::optional<std::string> packed = record.pack_within(config.value_limit(format), format);
+    if (packed) return packed;
     // No task of a cancelled job starts again, so the set of completed tasks is not needed any more.
     record.done = {};
-    packed = record.pack(format);
-    if (json_size(packed) <= config.value_limit(format)) return packed;
-    return std::nullopt;
+    return record.pack_within(config.value_limit(format), format);
 }
 
 }  // namespace
@@ -64,6 +61,7 @@
 Task<JobRequestHandler::CancelOutcome> JobRequestHandler::commit_cancellation(std::string id,
                                                                               JobState state) {
     state.record.cancelled = true;
+    state.record.cancelled_wall = loop_.wall();
     std::optional<std::string> packed =
         pack_within_limit(state.record, config_, record_format_.write_format());
     if (!packed) {
--- a/tests/controller/fault_scenarios_test.cc
+++ b/tests/controller/fault_scenarios_test.cc
@@ -351,6 +351,28 @@
          }
          scenario.deployment.run(30);
      }},
+    // Guards against a cancelled task that outlives cancel_s on a hung machine because no leader leads long
+    // enough to delete the machine.
+    {"CancellationOnHungMachineWhileLeadersChange", 3, 6,
+     [](FaultScenario& scenario) {
+         for (auto& config : scenario.deployment.configs) config.heartbeat_interval_s = 5;
+         scenario.submit("job-1", 4, 400);
+         ASSERT_TRUE(scenario.await_start("job-1"));
+         scenario.deployment.run(4);
+         SimulatedMachine* hung = scenario.fleet.machine_running("job-1");
+         hung->hung = true;
+         scenario.cancel("job-1");
+         scenario.deployment.run(1);
+         for (int i = 0; i < 4; ++i) {
+             scenario.kill_leader();
+             scenario.deployment.run(4);
+             scenario.start_all_killed();
+             scenario.deployment.run(8);
+         }
+         EXPECT_TRUE(hung->deleted);
+         EXPECT_EQ(scenario.deployment.cloud.deleted.size(), 1U)
+             << "machines that receive stop commands must be kept";
+     }},
 };
 
 class FaultScenarios : public testing::TestWithParam<FaultScript> {};
--- a/tests/fleet/scaling_plan_test.cc
+++ b/tests/fleet/scaling_plan_test.cc
@@ -122,25 +122,26 @@
     now += 30;
     EXPECT_TRUE(due(0).empty()) << "missing heartbeats alone are no reason";
     cluster.machine("vm-1")->last_heartbeat = now - 1;
-    jobs.cancel(job, now);
+    jobs.cancel(job, now, now);
     now += 10;
     EXPECT_TRUE(due(0).empty()) << "it may still receive the stop command";
     now += config.lease_s - 8 + constants::kLeaseExpiryMargin_s;
     EXPECT_EQ(due(0), Names{"vm-1"}) << "its lease has expired";
-    EXPECT_LT(now, job.cancellation_known_at + config.cancel_s - 15) << "this leaves time for a slow cloud";
+    EXPECT_LT(now, job.cancelled_at + config.cancel_s - 15) << "this leaves time for a slow cloud";
     EXPECT_TRUE(due(now - 5).empty()) << "a leader whose process was stalled first waits for heartbeats";
     cluster.machine("vm-1")->last_heartbeat = now;
     EXPECT_EQ(due(0), Names{"vm-1"}) << "it sends heartbeats but receives no commands";
     // A leader that learns of the cancellation late counts from the machine's last heartbeat.
-    jobs.cancel(*jobs.find("job-2"), now);
+    jobs.cancel(*jobs.find("job-2"), now, now);
     EXPECT_EQ(due(0), (Names{"vm-1", "vm-2"}));
     cluster.machine("vm-1")->deleting = true;
     EXPECT_EQ(due(0), Names{"vm-2"});
-    // A leader that inherits a cancellation does not know when it was made: a machine that sends no
-    // heartbeat is due soon.
+    // A leader that inherits a cancellation without its time assumes that it is older than every lease
+    // (RecordWatch): a machine that sends no heartbeat is due soon.
     JobRecord record;
     record.spec = job_spec("job-3", 1);
     record.cancelled = true;
+    record.cancelled_wall = WallTime{-config.certain_lease_expiry_s()};
     record.live[0] = {4, "vm-9", "a"};
     jobs.load(record, 9, now, {0});
     cluster.find_or_add("vm-9", now);
@@ -152,6 +153,48 @@
     EXPECT_EQ(std::count(names.begin(), names.end(), "vm-9"), 1);
 }
 
+// Guards against a wait for heartbeats that begins anew with each leader, whatever is left of cancel_s.
+TEST_F(ScalingPlanRules, NewLeaderWaitsForHeartbeatsOnlyAsLongAsTheCancellationAllows) {
+    config.cancel_s = 49;
+    config.heartbeat_interval_s = 5;
+    const Seconds cancelled_at = now;
+    JobRecord record;
+    record.spec = job_spec("job-1", 1);
+    record.cancelled = true;
+    record.cancelled_wall = WallTime{0};
+    record.live[0] = {4, "vm-1", "a"};
+    struct Case {
+        Seconds term_begins, due;  // after the cancellation
+    };
+    // The lease has expired for certain after 26.02 s; heartbeats take up to 11 s to arrive.
+    for (const Case& expected :
+         std::vector<Case>{{4, 27}, {15, 27}, {20, 32}, {28, 33}, {36, 40}, {44, 48}}) {
+        SCOPED_TRACE(expected.term_begins);
+        jobs.clear();
+        cluster.machines.clear();
+        now = cancelled_at + expected.term_begins;
+        jobs.load(record, 9, now, {expected.term_begins});
+        cluster.find_or_add("vm-1", now);
+        const Seconds receiving_since = now;
+        auto due = [&] {
+            return machines_with_cancelled_tasks(cluster, jobs, config, now, receiving_since)
+                       .at(0)
+                       .waits_for == DeletionCondition::kNone;
+        };
+        now = cancelled_at + expected.due - 1;
+        EXPECT_FALSE(due());
+        now = cancelled_at + expected.due + 0.1;
+        EXPECT_TRUE(due());
+    }
+    // Once cancel_s has passed, a hurried deletion gains nothing.
+    jobs.clear();
+    now = cancelled_at + 60;
+    jobs.load(record, 9, now, {60});
+    now += 10.9;
+    auto held = machines_with_cancelled_tasks(cluster, jobs, config, now, cancelled_at + 60);
+    EXPECT_EQ(held.at(0).waits_for, DeletionCondition::kHeartbeats);
+}
+
 // A new leader receives a delayed copy of a heartbeat from before its term, of a machine that was deleted
 // long ago.
 TEST_F(ScalingPlanRules, DelayedHeartbeatProvidesNoCapacity) {
--- a/tests/jobs/service_lifecycle_test.cc
+++ b/tests/jobs/service_lifecycle_test.cc
@@ -45,7 +45,7 @@
     record.done.add(0);
     Job& old_job = jobs.load(record, 5, now, {0});
     EXPECT_EQ(old_job.pending.size(), 2U);
-    jobs.cancel(job, now);
+    jobs.cancel(job, now, now);
     EXPECT_EQ(job.to_record().phase(), JobPhase::kCancelled);
 }
 
--- a/tests/jobs/task_lifecycle_test.cc
+++ b/tests/jobs/task_lifecycle_test.cc
@@ -179,7 +179,7 @@
     ASSERT_EQ(schedule_for({&machine}).size(), 2U);
     mark_committed(job);
     jobs.commands(machine, LaunchCommands::kInclude);
-    jobs.cancel(job, now);
+    jobs.cancel(job, now, now);
     EXPECT_TRUE(schedule_for({&machine}).empty());
     EXPECT_EQ(count_launches(jobs.commands(machine, LaunchCommands::kInclude)), 0U);
     // A launch that was in flight at the cancellation took effect.
--- a/tests/jobs/task_transitions_test.cc
+++ b/tests/jobs/task_transitions_test.cc
@@ -88,7 +88,7 @@
             case kStop:
                 return stop();
             case kCancel:
-                return jobs_.cancel(job_, now_);
+                return jobs_.cancel(job_, now_, now_);
         }
     }
 
--- a/tests/leader/record_reading_test.cc
+++ b/tests/leader/record_reading_test.cc
@@ -52,3 +52,31 @@
     deployment.run(10);
     EXPECT_EQ(deployment.node(0).leader()->jobs().size(), 300U);
 }
+
+// A leader of an earlier version drops the time of a cancellation. The next leader assumes that it is old,
+// and records that for the leaders after it, so that none of them counts from its own beginning.
+TEST(RecordReading, MissingTimeOfCancellationCountsAsOld) {
+    Deployment deployment(2);
+    JobRecord record;
+    record.spec.id = "job-1";
+    record.spec.team = "team";
+    record.spec.tasks = 1;
+    record.cancelled = true;
+    record.live[0] = {4, "vm-000009", "a"};
+    store_record(deployment, record);
+    ASSERT_TRUE(deployment.start_and_elect());
+    const int first_leader = deployment.leader();
+    const Seconds assumed =
+        deployment.loop.wall().since_epoch - deployment.configs[0].certain_lease_expiry_s();
+    deployment.run(3);
+    auto stored = stored_record(deployment, "job-1").cancelled_wall;
+    ASSERT_TRUE(stored);
+    EXPECT_NEAR(stored->since_epoch, assumed, 1);
+    EXPECT_TRUE(deployment.cloud.deleted.empty()) << "its worker has had no time for a heartbeat";
+    deployment.kill(first_leader);
+    ASSERT_TRUE(deployment.run_until([&] { return deployment.leader() == 1 - first_leader; }, 15));
+    deployment.run(2);
+    EXPECT_EQ(stored_record(deployment, "job-1").cancelled_wall, stored);
+    deployment.run(4);
+    EXPECT_EQ(deployment.cloud.deleted, std::vector<std::string>{"vm-000009"});
+}
