Send a new leader's stop commands as soon as the machine's address is known

After a change of the leader a cancelled task on a machine that only direct commands reach ran for up to report_s longer than it had to, and under leaders of less than report_s to the end of its lease.

A new leader queues the stops of its records before it has the cloud's list, and stops for a machine without an address were dropped. The repetition comes one report_s later.

Change: CommandSender keeps them until the machine has an address or is gone. The queue holds at most the machines known from records, and what is sent is computed when it is sent, so that nothing outdated goes out.

--- a/src/leader/command_sender.cc
+++ b/src/leader/command_sender.cc
@@ -6,17 +6,25 @@
 namespace hareshore {
 
 void CommandSender::send_urgent_stops() {
-    for (const auto& name : dependencies_.jobs.take_machines_with_new_stops()) {
-        WorkerConnection& connection = dependencies_.connections.of(name);
-        if (connection.command_in_flight) {
-            connection.resend = true;
-            continue;
-        }
-        Machine* machine = dependencies_.cluster.machine(name);
-        if (!machine || machine->addr.empty()) continue;
-        connection.command_in_flight = true;
-        dependencies_.lifecycle.spawn(send_stops(name), "stop commands", Priority::kNormal);
+    machines_to_stop_.merge(dependencies_.jobs.take_machines_with_new_stops());
+    std::erase_if(machines_to_stop_, [&](const std::string& name) {
+        const Machine* machine = dependencies_.cluster.machine(name);
+        // A new leader knows a machine from its records before the cloud's list or a heartbeat has its
+        // address.
+        if (machine && machine->addr.empty()) return false;
+        if (machine) start_sending(name);
+        return true;
+    });
+}
+
+void CommandSender::start_sending(const std::string& machine_name) {
+    WorkerConnection& connection = dependencies_.connections.of(machine_name);
+    if (connection.command_in_flight) {
+        connection.resend = true;
+        return;
     }
+    connection.command_in_flight = true;
+    dependencies_.lifecycle.spawn(send_stops(machine_name), "stop commands", Priority::kNormal);
 }
 
 Task<void> CommandSender::send_stops(std::string machine_name) {
--- a/src/leader/command_sender.h
+++ b/src/leader/command_sender.h
@@ -1,6 +1,7 @@
 // Sends stop commands directly to workers. Launches are sent only in responses to heartbeats, but stops are
 // urgent, since a gang's other tasks must end within gang_peer_s.
 #pragma once
+#include <set>
 #include <string>
 #include <vector>
 
@@ -26,15 +27,17 @@
     };
     explicit CommandSender(const Dependencies& dependencies) : dependencies_(dependencies) {}
 
-    // Sends the new stops of the job table. Each machine has at most one request in flight; stops added while
-    // it is in flight are sent after it.
+    // Sends the new stops of the job table, to each machine as soon as its address is known. Each machine has
+    // at most one request in flight; stops added while it is in flight are sent after it.
     void send_urgent_stops();
 
   private:
+    void start_sending(const std::string& machine_name);
     Task<void> send_stops(std::string machine_name);
     std::vector<Command> stops_for(Machine& machine);
 
     const Dependencies dependencies_;
+    std::set<std::string> machines_to_stop_;  // whose addresses are not known yet
 };
 
 }  // namespace hareshore
--- a/tests/controller/fault_scenarios_test.cc
+++ b/tests/controller/fault_scenarios_test.cc
@@ -351,6 +351,24 @@
          }
          scenario.deployment.run(30);
      }},
+    // Guards against a new leader that drops its first stop commands because it does not know the machines'
+    // addresses yet, and repeats them only after a heartbeat interval.
+    {"StopCommandsOfNewLeaderFollowTheMachineList", 2, 6,
+     [](FaultScenario& scenario) {
+         for (auto& config : scenario.deployment.configs) config.heartbeat_interval_s = 5;
+         scenario.submit("job-1", 4, 400);
+         ASSERT_TRUE(scenario.await_start("job-1"));
+         scenario.deployment.run(4);
+         for (auto& machine : scenario.fleet.machines()) machine->heartbeats_blocked = true;
+         scenario.deployment.cloud.down = true;
+         scenario.kill_leader();
+         scenario.cancel("job-1");
+         scenario.await_leader();
+         scenario.deployment.run(0.5);
+         scenario.deployment.cloud.down = false;
+         scenario.deployment.run(3.5);
+         EXPECT_FALSE(scenario.fleet.machine_running("job-1"));
+     }},
     // Guards against a cancelled task that outlives cancel_s on a hung machine because no leader leads long
     // enough to delete the machine.
     {"CancellationOnHungMachineWhileLeadersChange", 3, 6,
