Delete machines with cancelled tasks early enough for two more leaders

Cause: three leaders of a few seconds could spend the last 17 s of cancel_s on their waits of 3 s, which a tick of the scaler made 4 s; and a leader fell back to the whole wait of 2.2 report_s when the end of cancel_s passed while it waited.

Change: the wait ends 20 s before that end, after 2.5 s at the least, and whether it is short is decided when the leader begins. A cancellation that is inherited without its time gets the age at which the leader waits 6 s, as it does before any other scaling decision. The log names the first task that is due, so that it does not alternate.

--- a/src/base/constants.h
+++ b/src/base/constants.h
@@ -237,11 +237,11 @@
 // Safety margin in seconds, for latency and drift, after which a worker's lease has certainly expired.
 inline constexpr double kLeaseExpiryMargin_s = 2.0;
 // Seconds before the end of cancel_s at which a machine with a cancelled task is deleted without waiting for
-// heartbeats any longer: two changes of the leader and a slow call to the cloud may still come.
-inline constexpr double kCancelledTaskDeletionMargin_s = 17.0;
-// Seconds for which a new leader waits for the heartbeat of such a machine in any case: the machine list has
-// its address, and a stop command needs a round trip.
-inline constexpr double kMinHeartbeatWait_s = 3.0;
+// heartbeats any longer: two more leaders may each have to wait, and the cloud may be slow.
+inline constexpr double kCancelledTaskDeletionMargin_s = 20.0;
+// Seconds for which a new leader waits for such a machine in any case: for the list with its address, and for
+// the answer to a stop command.
+inline constexpr double kMinHeartbeatWait_s = 2.5;
 // Seconds between reads of the cloud's list of machines.
 inline constexpr double kMachineListInterval_s = 4.0;
 // Seconds between reads of the machine types and their prices.
--- a/src/fleet/cancelled_tasks.cc
+++ b/src/fleet/cancelled_tasks.cc
@@ -10,12 +10,12 @@
 namespace {
 
 // How long a leader that is new, or whose process was stalled, waits for the heartbeat of a machine with a
-// task of this job. The wait ends early enough to delete the machine within cancel_s. Once that has passed,
-// there is nothing to hurry for.
-Seconds heartbeat_wait(const Job& job, const Config& config, Seconds now, Seconds receiving_since) {
+// task of this job. The wait ends early enough to delete the machine within cancel_s. A leader that begins
+// after that has nothing to hurry for.
+Seconds heartbeat_wait(const Job& job, const Config& config, Seconds receiving_since) {
     const Seconds silent_after = constants::kSilentAfterHeartbeatIntervals * config.heartbeat_interval_s;
     const Seconds must_end_at = job.cancelled_at + config.cancel_s;
-    if (now >= must_end_at) return silent_after;
+    if (receiving_since >= must_end_at) return silent_after;
     const Seconds latest = must_end_at - constants::kCancelledTaskDeletionMargin_s;
     return std::min(silent_after, std::max(latest - receiving_since, constants::kMinHeartbeatWait_s));
 }
@@ -26,7 +26,7 @@
     const Seconds expiry = config.certain_lease_expiry_s();
     if (now - job.cancelled_at <= expiry && now - machine.last_heartbeat <= expiry)
         return DeletionCondition::kLeaseExpiry;
-    if (now - receiving_since <= heartbeat_wait(job, config, now, receiving_since))
+    if (now - receiving_since <= heartbeat_wait(job, config, receiving_since))
         return DeletionCondition::kHeartbeats;
     return DeletionCondition::kNone;
 }
@@ -63,7 +63,9 @@
                                           now - job->cancelled_at,
                                           condition_for(*job, machine, config, now, receiving_since)};
             auto [known, added] = found.try_emplace(machine.name, held);
-            if (!added && held.waits_for == DeletionCondition::kNone) known->second = held;
+            const bool first_due = known->second.waits_for != DeletionCondition::kNone &&
+                                   held.waits_for == DeletionCondition::kNone;
+            if (!added && first_due) known->second = held;
         }
     }
     std::vector<MachineWithCancelledTask> machines;
@@ -72,4 +74,9 @@
     return machines;
 }
 
+Seconds assumed_cancellation_age(const Config& config) {
+    return std::max(0.0, config.cancel_s - constants::kCancelledTaskDeletionMargin_s -
+                             constants::kNewLeaderScalingDelay_s);
+}
+
 }  // namespace hareshore
--- a/src/fleet/cancelled_tasks.h
+++ b/src/fleet/cancelled_tasks.h
@@ -42,4 +42,8 @@
 [[nodiscard]] std::vector<MachineWithCancelledTask> machines_with_cancelled_tasks(
     const Cluster& cluster, const JobTable& jobs, const Config& config, Seconds now, Seconds receiving_since);
 
+// The age that a leader assumes of a cancellation that it inherits without its time: the highest at which it
+// still collects heartbeats for kNewLeaderScalingDelay_s, as before any other scaling decision.
+[[nodiscard]] Seconds assumed_cancellation_age(const Config& config);
+
 }  // namespace hareshore
--- a/src/leader/record_watch.cc
+++ b/src/leader/record_watch.cc
@@ -4,6 +4,7 @@
 
 #include "base/constants.h"
 #include "base/log.h"
+#include "fleet/cancelled_tasks.h"
 
 namespace hareshore {
 
@@ -74,11 +75,10 @@
     }
 }
 
-// Earlier versions do not record when a job was cancelled. A cancellation that this leader inherits without
-// that time counts as older than every lease that was granted before it.
+// Earlier versions do not record when a job was cancelled.
 void RecordWatch::set_missing_cancellation_time(JobRecord& record, WallTime wall) const {
     if (!record.cancelled || record.cancelled_wall || dependencies_.jobs.find(record.spec.id)) return;
-    record.cancelled_wall = WallTime{wall.since_epoch - dependencies_.config.certain_lease_expiry_s()};
+    record.cancelled_wall = WallTime{wall.since_epoch - assumed_cancellation_age(dependencies_.config)};
 }
 
 void RecordWatch::quarantine(const KeyChange& change) {
--- a/tests/fleet/scaling_plan_test.cc
+++ b/tests/fleet/scaling_plan_test.cc
@@ -136,12 +136,12 @@
     EXPECT_EQ(due(0), (Names{"vm-1", "vm-2"}));
     cluster.machine("vm-1")->deleting = true;
     EXPECT_EQ(due(0), Names{"vm-2"});
-    // A leader that inherits a cancellation without its time assumes that it is older than every lease
-    // (RecordWatch): a machine that sends no heartbeat is due soon.
+    // A leader that inherits a cancellation without its time assumes that it is old: a machine that sends no
+    // heartbeat is due soon.
     JobRecord record;
     record.spec = job_spec("job-3", 1);
     record.cancelled = true;
-    record.cancelled_wall = WallTime{-config.certain_lease_expiry_s()};
+    record.cancelled_wall = WallTime{-assumed_cancellation_age(config)};
     record.live[0] = {4, "vm-9", "a"};
     jobs.load(record, 9, now, {0});
     cluster.find_or_add("vm-9", now);
@@ -168,7 +168,7 @@
     };
     // The lease has expired for certain after 26.02 s; heartbeats take up to 11 s to arrive.
     for (const Case& expected :
-         std::vector<Case>{{4, 27}, {15, 27}, {20, 32}, {28, 33}, {36, 40}, {44, 48}}) {
+         std::vector<Case>{{4, 27}, {15, 27}, {20, 30}, {28, 31}, {36, 39}, {44, 47}, {48, 51}}) {
         SCOPED_TRACE(expected.term_begins);
         jobs.clear();
         cluster.machines.clear();
--- a/tests/leader/record_reading_test.cc
+++ b/tests/leader/record_reading_test.cc
@@ -1,6 +1,7 @@
 // Reading the records from the store.
 #include <gtest/gtest.h>
 
+#include "fleet/cancelled_tasks.h"
 #include "standins/records.h"
 #include "state/store_wire.h"
 
@@ -67,7 +68,7 @@
     ASSERT_TRUE(deployment.start_and_elect());
     const int first_leader = deployment.leader();
     const Seconds assumed =
-        deployment.loop.wall().since_epoch - deployment.configs[0].certain_lease_expiry_s();
+        deployment.loop.wall().since_epoch - assumed_cancellation_age(deployment.configs[0]);
     deployment.run(3);
     auto stored = stored_record(deployment, "job-1").cancelled_wall;
     ASSERT_TRUE(stored);
