--- a/tests/controller/fault_scenarios_test.cc
+++ b/tests/controller/fault_scenarios_test.cc
@@ -52,9 +52,7 @@
      }},
     {"DelayedHeartbeatReachesNewLeader", 2, 4,
      [](FaultScenario& scenario) {
-         scenario.submit("job-1", 1, 80);
-         ASSERT_TRUE(scenario.await_start("job-1"));
-         scenario.deployment.run(4);
+         ASSERT_TRUE(scenario.start_job("job-1", 1, 80));
          SimulatedMachine* machine = scenario.fleet.machine_running("job-1");
          // Sent before the launch, so without the task.
          std::string old_heartbeat = machine->sent_heartbeats.at(machine->sent_heartbeats.size() / 2);
@@ -113,9 +111,7 @@
      }},
     {"CommandsDelayedByHungMachines", 2, 6,
      [](FaultScenario& scenario) {
-         scenario.submit("job-1", 4, 300);
-         ASSERT_TRUE(scenario.await_start("job-1"));
-         scenario.deployment.run(4);
+         ASSERT_TRUE(scenario.start_job("job-1", 4, 300));
          for (auto& machine : scenario.fleet.machines()) machine->hung = !machine->worker.tasks.empty();
          scenario.cancel("job-1");
          scenario.submit("job-2", 8, 20);
@@ -270,9 +266,7 @@
     // that went silent: another leader may have stopped the tasks.
     {"IsolatedLeaderDeletesNoSilentMachines", 3, 6,
      [](FaultScenario& scenario) {
-         scenario.submit("job-1", 2, 400);
-         ASSERT_TRUE(scenario.await_start("job-1"));
-         scenario.deployment.run(4);
+         ASSERT_TRUE(scenario.start_job("job-1", 2, 400));
          int first_leader = scenario.await_leader();
          std::vector<SimulatedMachine*> busy;
          for (auto& machine : scenario.fleet.machines())
@@ -291,9 +285,7 @@
      }},
     {"CancellationDuringFailoverOnMachinesReachedByCommandsOnly", 2, 6,
      [](FaultScenario& scenario) {
-         scenario.submit("job-1", 4, 400);
-         ASSERT_TRUE(scenario.await_start("job-1"));
-         scenario.deployment.run(4);
+         ASSERT_TRUE(scenario.start_job("job-1", 4, 400));
          for (auto& machine : scenario.fleet.machines())
              machine->heartbeats_blocked = machine->partitioned = !machine->worker.tasks.empty();
          int first_leader = scenario.await_leader();
@@ -311,9 +303,7 @@
     // it.
     {"CancellationOnHungMachinesOfPartitionedZone", 2, 6,
      [](FaultScenario& scenario) {
-         scenario.submit("job-1", 6, 400);
-         ASSERT_TRUE(scenario.await_start("job-1"));
-         scenario.deployment.run(4);
+         ASSERT_TRUE(scenario.start_job("job-1", 6, 400));
          for (auto& machine : scenario.fleet.machines()) machine->partitioned = machine->worker.zone == "a";
          scenario.fleet.machine_running("job-1")->hung = true;
          for (auto& machine : scenario.fleet.machines())
@@ -326,9 +316,7 @@
      }},
     {"CancellationOnHungMachineDuringStoreOutage", 2, 4,
      [](FaultScenario& scenario) {
-         scenario.submit("job-1", 4, 400);
-         ASSERT_TRUE(scenario.await_start("job-1"));
-         scenario.deployment.run(4);
+         ASSERT_TRUE(scenario.start_job("job-1", 4, 400));
          scenario.fleet.machine_running("job-1")->hung = true;
          scenario.cancel("job-1");
          scenario.deployment.run(0.2);
@@ -337,9 +325,7 @@
      }},
     {"CancellationOnHungMachinesDuringFailovers", 2, 6,
      [](FaultScenario& scenario) {
-         scenario.submit("job-1", 6, 400);
-         ASSERT_TRUE(scenario.await_start("job-1"));
-         scenario.deployment.run(4);
+         ASSERT_TRUE(scenario.start_job("job-1", 6, 400));
          for (auto& machine : scenario.fleet.machines())
              machine->partitioned = machine->hung = machine->worker.zone == "a";
          scenario.cancel("job-1");
@@ -356,9 +342,7 @@
     {"StopCommandsOfNewLeaderFollowTheMachineList", 2, 6,
      [](FaultScenario& scenario) {
          for (auto& config : scenario.deployment.configs) config.heartbeat_interval_s = 5;
-         scenario.submit("job-1", 4, 400);
-         ASSERT_TRUE(scenario.await_start("job-1"));
-         scenario.deployment.run(4);
+         ASSERT_TRUE(scenario.start_job("job-1", 4, 400));
          for (auto& machine : scenario.fleet.machines()) machine->heartbeats_blocked = true;
          scenario.deployment.cloud.down = true;
          scenario.kill_leader();
@@ -374,9 +358,7 @@
     {"CancellationOnHungMachineWhileLeadersChange", 3, 6,
      [](FaultScenario& scenario) {
          for (auto& config : scenario.deployment.configs) config.heartbeat_interval_s = 5;
-         scenario.submit("job-1", 4, 400);
-         ASSERT_TRUE(scenario.await_start("job-1"));
-         scenario.deployment.run(4);
+         ASSERT_TRUE(scenario.start_job("job-1", 4, 400));
          SimulatedMachine* hung = scenario.fleet.machine_running("job-1");
          hung->hung = true;
          scenario.cancel("job-1");
--- a/tests/scenario/fault_scenario.cc
+++ b/tests/scenario/fault_scenario.cc
@@ -15,6 +15,7 @@
 constexpr uint16_t kPeerPort = 8081;
 constexpr Seconds kStartupTime_s = 9;  // until the first machines have sent heartbeats
 constexpr Seconds kElectionTimeout_s = 40;
+constexpr Seconds kRunningTime_s = 4;      // of a started job before a script continues
 constexpr Seconds kRetryInterval_s = 0.3;  // before the request goes to the next controller
 constexpr Seconds kKilledNodePause_s = 0.1;
 constexpr Seconds kInvariantCheckInterval_s = 0.1;
@@ -125,6 +126,13 @@
     return deployment.run_until([&] { return fleet.machine_running(job) != nullptr; }, timeout);
 }
 
+bool FaultScenario::start_job(const std::string& id, uint32_t tasks, Seconds run_s) {
+    submit(id, tasks, run_s);
+    if (!await_start(id)) return false;
+    deployment.run(kRunningTime_s);
+    return true;
+}
+
 void FaultScenario::start_all_killed() {
     for (size_t node = 0; node < deployment.nodes.size(); ++node)
         if (!deployment.nodes[node]) deployment.start(static_cast<int>(node));
--- a/tests/scenario/fault_scenario.h
+++ b/tests/scenario/fault_scenario.h
@@ -57,6 +57,8 @@
     int await_leader();
     // Waits until a machine runs a task of the job; false after `timeout`.
     bool await_start(const std::string& job, Seconds timeout = 20);
+    // Submits a job and lets it run for a few seconds; false if none of its tasks has started.
+    [[nodiscard]] bool start_job(const std::string& id, uint32_t tasks, Seconds run_s);
     void start_all_killed();
     void kill_leader();
     void begin_store_outage();
