Move the HTTP parsers into modules of their own with a common base

The client and the server each held a parser class, with the set-up of http_parser, the callbacks for bodies and for the end of a message, and the check of its errors written twice.

--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -1,66 +1,15 @@
 #include "http/client.h"
 
-#include <http_parser.h>
-
 #include <algorithm>
 #include <utility>
 
 #include "base/constants.h"
+#include "http/response_parser.h"
 
 namespace hareshore {
 
 namespace {
 
-// Parses one response with http_parser, whose callbacks collect it.
-class ResponseParser {
-  public:
-    explicit ResponseParser(size_t body_limit) : body_limit_(body_limit) {
-        http_parser_init(&parser_, HTTP_RESPONSE);
-        parser_.data = this;
-        http_parser_settings_init(&callbacks_);
-        callbacks_.on_body = [](http_parser* parser, const char* data, size_t size) {
-            return self(parser).append_body(data, size);
-        };
-        callbacks_.on_message_complete = [](http_parser* parser) {
-            self(parser).complete_ = true;
-            http_parser_pause(parser, 1);
-            return 0;
-        };
-    }
-    ResponseParser(const ResponseParser&) = delete;  // the parser points to it
-    ResponseParser& operator=(const ResponseParser&) = delete;
-
-    // Parses received bytes. Empty bytes mean the end of the stream, which completes a response without a
-    // length. Returns false if the bytes are not a valid response within the limit.
-    bool parse(std::string_view bytes) {
-        http_parser_execute(&parser_, &callbacks_, bytes.data(), bytes.size());
-        auto error = HTTP_PARSER_ERRNO(&parser_);
-        return error == HPE_OK || error == HPE_PAUSED;
-    }
-    [[nodiscard]] bool complete() const { return complete_; }
-    [[nodiscard]] bool too_large() const { return too_large_; }
-    [[nodiscard]] int status() const { return static_cast<int>(parser_.status_code); }
-    [[nodiscard]] bool keep_alive() const { return http_should_keep_alive(&parser_) != 0; }
-    std::string take_body() { return std::move(body_); }
-
-  private:
-    static ResponseParser& self(http_parser* parser) { return *static_cast<ResponseParser*>(parser->data); }
-
-    int append_body(const char* data, size_t size) {
-        too_large_ = body_.size() + size > body_limit_;
-        if (too_large_) return 1;
-        body_.append(data, size);
-        return 0;
-    }
-
-    http_parser parser_{};
-    http_parser_settings callbacks_{};
-    size_t body_limit_;
-    std::string body_;
-    bool complete_ = false;
-    bool too_large_ = false;
-};
-
 // Counts a call that waits for a connection until end() or destruction.
 class WaitingCall {
   public:
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -1,118 +1,18 @@
 #include "http/server.h"
 
-#include <http_parser.h>
 #include <unistd.h>
 
 #include <algorithm>
-#include <climits>
 #include <utility>
 
 #include "base/constants.h"
 #include "base/log.h"
+#include "http/request_parser.h"
 
 namespace hareshore {
 
 namespace {
 
-// Parses successive requests with http_parser, whose callbacks collect them.
-class RequestParser {
-  public:
-    RequestParser() {
-        http_parser_init(&parser_, HTTP_REQUEST);
-        parser_.data = this;
-        http_parser_settings_init(&callbacks_);
-        callbacks_.on_url = [](http_parser* parser, const char* data, size_t size) {
-            return self(parser).append_url(data, size);
-        };
-        callbacks_.on_header_field = [](http_parser* parser, const char*, size_t size) {
-            return self(parser).count_head(size);
-        };
-        callbacks_.on_header_value = callbacks_.on_header_field;
-        callbacks_.on_headers_complete = [](http_parser* parser) {
-            bool has_length = parser->content_length != ULLONG_MAX;
-            if (has_length && parser->content_length > constants::kRequestBodyLimit)
-                self(parser).request_.oversized = true;
-            return 0;
-        };
-        callbacks_.on_body = [](http_parser* parser, const char* data, size_t size) {
-            return self(parser).append_body(data, size);
-        };
-        callbacks_.on_message_complete = [](http_parser* parser) {
-            self(parser).complete_ = true;
-            http_parser_pause(parser, 1);
-            return 0;
-        };
-    }
-    RequestParser(const RequestParser&) = delete;  // the parser points to it
-    RequestParser& operator=(const RequestParser&) = delete;
-
-    // Parses received bytes up to the end of the request; returns how many were consumed.
-    size_t parse(std::string_view bytes) {
-        size_t consumed = http_parser_execute(&parser_, &callbacks_, bytes.data(), bytes.size());
-        return std::min(consumed, bytes.size());
-    }
-    // Whether the bytes are not a valid request within the limits. The connection cannot be used further
-    // then.
-    [[nodiscard]] bool malformed() const {
-        auto error = HTTP_PARSER_ERRNO(&parser_);
-        return parser_.upgrade || (error != HPE_OK && error != HPE_PAUSED);
-    }
-    // Whether the body exceeds the limit: the request can be rejected before all of it has been received.
-    [[nodiscard]] bool oversized() const { return request_.oversized; }
-    [[nodiscard]] bool complete() const { return complete_; }
-    [[nodiscard]] bool keep_alive() const { return http_should_keep_alive(&parser_) != 0; }
-
-    // Returns the complete request. reset() must be called before the next one is parsed.
-    Request take_request() {
-        request_.method = http_method_str(static_cast<http_method>(parser_.method));
-        size_t query_mark = url_.find('?');
-        request_.path = url_.substr(0, query_mark);
-        if (query_mark != std::string::npos) request_.query = url_.substr(query_mark + 1);
-        return std::move(request_);
-    }
-    void reset() {
-        request_ = {};
-        url_.clear();
-        head_size_ = 0;
-        body_size_ = 0;
-        complete_ = false;
-        http_parser_pause(&parser_, 0);
-    }
-
-  private:
-    static RequestParser& self(http_parser* parser) { return *static_cast<RequestParser*>(parser->data); }
-
-    // Results of the callbacks: 0 to continue; otherwise the request is malformed.
-    int count_head(size_t size) {
-        head_size_ += size;
-        return head_size_ > constants::kRequestHeadLimit ? 1 : 0;
-    }
-    int append_url(const char* data, size_t size) {
-        if (count_head(size) != 0) return 1;
-        url_.append(data, size);
-        return 0;
-    }
-    int append_body(const char* data, size_t size) {
-        body_size_ += size;
-        if (body_size_ > constants::kRequestBodyLimit) request_.oversized = true;
-        if (body_size_ > constants::kOversizedBodyReadLimit) return 1;
-        if (request_.oversized) {
-            request_.body.clear();
-        } else {
-            request_.body.append(data, size);
-        }
-        return 0;
-    }
-
-    http_parser parser_{};
-    http_parser_settings callbacks_{};
-    Request request_;
-    std::string url_;
-    size_t head_size_ = 0;  // bytes of the URL and headers
-    size_t body_size_ = 0;  // bytes, including discarded ones
-    bool complete_ = false;
-};
-
 const char* reason_phrase(int status) {
     switch (status) {
         case 200:
