Show that a gang never starts if its image takes longer to fetch than gang_wait_s

One task exits as incomplete, the controllers then halt the one that still fetches, and the next attempt begins the fetch anew.

--- a/review/standins-2/platform.h
+++ b/review/standins-2/platform.h
@@ -41,11 +41,15 @@
     double rate_, burst_, level_, at_;
 };
 
-// The settings of the deployment, named as on the users' page.
+// The settings of the deployment, named as on the users' page. As they stand, those of bodega-cloud-mendoza.
 struct Facts {
     std::vector<std::string> zones{"lujan-zone", "uco-zone"};
     std::vector<std::string> node_zones{"lujan-zone", "uco-zone", "lujan-zone"};
-    std::vector<std::string> teams{"equipo-bodega", "equipo-precios", "equipo-vision"};
+    struct Team {
+        std::string name;
+        double gpus = 0, gpus_max = 0;
+    };
+    std::vector<Team> teams{{"equipo-bodega"}, {"equipo-precios"}, {"equipo-vision"}};
     double report_s = 3, lease_s = 24, gang_wait_s = 40, gang_peer_s = 4, cancel_s = 49;
     double state_rps = 80, write_rps = 15, value_kb = 8;
     size_t txn_ops = 12;
@@ -55,6 +59,33 @@
     double price = 11.24, low_price = 2.91, boot_s = 30;
 };
 
+inline Facts dogear_books_memphis() {
+    Facts facts;
+    facts.zones = facts.node_zones = {"midtown-zone", "warehouse-zone", "rented-zone"};
+    facts.teams = {{"listings-crew", 8, 24},
+                   {"pricing-crew", 16, 40},
+                   {"photo-crew", 16, 64},
+                   {"catalog-crew", 16, 40},
+                   {"buyers-crew", 16, 40}};
+    facts.gang_wait_s = 35;
+    facts.gang_peer_s = 8;
+    facts.state_rps = 250;
+    facts.write_rps = 100;
+    facts.value_kb = 16;
+    facts.txn_ops = 24;
+    facts.list_lag_s = 8;
+    facts.flavor = "bookbinder-gpu16";
+    facts.vcpus = 16;
+    facts.cards = 2;
+    facts.memory_gb = 64;
+    facts.cache_gb = 150;
+    facts.fetch_gb_per_s = 0.8;
+    facts.price = 5.65;
+    facts.low_price = 2.05;
+    facts.boot_s = 50;
+    return facts;
+}
+
 // What a user submits, and how long its tasks really run.
 struct JobInfo {
     std::string ref, jobclass = "etiqueta-scan", owner = "equipo-vision", shape = "sweep", rank = "standard";
@@ -338,6 +369,34 @@
         }
         return last;
     }
+
+    // --- The tasks of a gang's attempt, which find each other by its number.
+    struct Gang {
+        std::set<std::string> waiting;
+        std::optional<double> started_at, broken_at;
+        bool done = false;
+    };
+    // The task has its image and waits for the others; the last one starts them all.
+    void gather(const JobInfo& job, int64_t attempt, const std::string& piece) {
+        std::lock_guard lock(mutex_);
+        Gang& gang = gangs_[{job.ref, attempt}];
+        if (gang.started_at) return;
+        gang.waiting.insert(piece);
+        if (static_cast<int64_t>(gang.waiting.size()) == job.pieces) gang.started_at = now();
+    }
+    // The task has gone before it was done.
+    void leave(const JobInfo& job, int64_t attempt, const std::string& piece) {
+        std::lock_guard lock(mutex_);
+        Gang& gang = gangs_[{job.ref, attempt}];
+        if (gang.started_at && !gang.done && !gang.broken_at) gang.broken_at = now();
+        gang.waiting.erase(piece);
+    }
+    Gang gang(const JobInfo& job, int64_t attempt) {
+        std::lock_guard lock(mutex_);
+        Gang& gang = gangs_[{job.ref, attempt}];
+        if (gang.started_at && !gang.broken_at && now() >= *gang.started_at + job.run_s) gang.done = true;
+        return gang;
+    }
     std::atomic<int> launches{0};  // carried out by workers
     std::atomic<int> starts{0};    // tasks that began to run
 
@@ -345,11 +404,12 @@
     std::mutex mutex_;
     std::map<std::string, JobInfo> jobs_;
     std::map<std::string, double> done_;
+    std::map<std::pair<std::string, int64_t>, Gang> gangs_;
 };
 
 // --- a machine and its worker -----------------------------------------------------------------------
 
-// Runs sweeps. Knows the addresses of all controller nodes and reports to one of them at a time.
+// Runs sweeps and gangs. Knows the addresses of all controller nodes and reports to one of them at a time.
 class Worker {
   public:
     Worker(const Facts& facts, Jobs& jobs, std::vector<int> nodes, std::string name, std::string zone, bool spot)
@@ -378,6 +438,16 @@
         std::lock_guard lock(mutex_);
         sick_ = sick;
     }
+    // How fast it fetches images, as a share of the nominal rate.
+    void set_fetch(double share) {
+        std::lock_guard lock(mutex_);
+        fetch_share_ = share;
+    }
+    // The image is in its cache.
+    void give_image(const std::string& bundle) {
+        std::lock_guard lock(mutex_);
+        cached_.insert(bundle);
+    }
     size_t listed() {
         std::lock_guard lock(mutex_);
         return tasks_.size();
@@ -395,7 +465,7 @@
         std::string phase, cause;
         bool kept = false;
         JobInfo info;
-        double ready_at = 0, ends_at = 0;
+        double ends_at = 0, gathers_from = 0;
     };
 
     Val report() {
@@ -469,13 +539,11 @@
             exit(task, "no_room");
         }
         if (info) task.info = *info;
-        // One fetch of an image serves all tasks that need it.
-        auto [image, fresh] = images_.try_emplace(task.info.bundle, 0);
-        if (fresh) image->second = now() + task.info.size_gb / facts_.fetch_gb_per_s;
-        task.ready_at = image->second;
         tasks_.push_back(std::move(task));
     }
     void exit(Task& task, const std::string& cause) {
+        if (task.info.shape == "ensemble" && cause != "done" && (task.phase == "gathering" || task.phase == "running"))
+            jobs_.leave(task.info, task.attempt, task.piece);
         task.phase = "exited";
         task.cause = cause;
         changed_ = true;
@@ -483,6 +551,8 @@
     void kill_all(const char* why) {
         size_t live = 0;
         for (const auto& task : tasks_) live += task.phase != "exited";
+        for (auto& task : tasks_)
+            if (task.phase != "exited") exit(task, "killed");
         if (!tasks_.empty())
             record.line("%s kills and forgets %zu tasks, %zu of them not exited: %s", name_.c_str(), tasks_.size(),
                         live, why);
@@ -500,9 +570,12 @@
                 lease_from_ = now();
                 changed_ = true;
             }
+            fetch_images();
             std::map<std::string, int> began, ended;
             for (auto& task : tasks_) {
-                if (task.phase == "pulling" && now() >= task.ready_at) {
+                if (task.info.shape == "ensemble" && task.phase != "exited") {
+                    run_gang_task(task, began, ended);
+                } else if (task.phase == "pulling" && cached_.count(task.info.bundle)) {
                     if (jobs_.done(task.piece)) {
                         exit(task, "done");
                         ++ended[task.job + " done, with the result that was kept"];
@@ -529,6 +602,61 @@
         }
     }
 
+    // One fetch of an image serves all tasks that need it; it is given up when no task waits for it any more.
+    void fetch_images() {
+        std::set<std::string> wanted;
+        for (const auto& task : tasks_) {
+            if (task.phase != "pulling" || cached_.count(task.info.bundle)) continue;
+            wanted.insert(task.info.bundle);
+            auto [fetch, fresh] = fetches_.try_emplace(task.info.bundle, now());
+            if (fresh)
+                record.line("%s begins to fetch %s, %.1f GB", name_.c_str(), task.info.bundle.c_str(), task.info.size_gb);
+            if (now() < fetch->second + task.info.size_gb / (facts_.fetch_gb_per_s * fetch_share_)) continue;
+            record.line("%s has %s", name_.c_str(), task.info.bundle.c_str());
+            cached_.insert(task.info.bundle);
+        }
+        std::erase_if(fetches_, [&](const auto& fetch) {
+            if (cached_.count(fetch.first)) return true;
+            if (wanted.count(fetch.first)) return false;
+            record.line("%s gives up the fetch of %s after %.1f s", name_.c_str(), fetch.first.c_str(),
+                        now() - fetch.second);
+            return true;
+        });
+    }
+    void run_gang_task(Task& task, std::map<std::string, int>& began, std::map<std::string, int>& ended) {
+        const std::string label = task.piece + " try " + std::to_string(task.attempt);
+        if (task.phase == "pulling" && cached_.count(task.info.bundle)) {
+            if (sick_) {
+                exit(task, "error");
+                ++ended[label + " error"];
+                return;
+            }
+            task.phase = "gathering";
+            task.gathers_from = now();
+            changed_ = true;
+            record.line("%s: %s waits for the other tasks of the gang", name_.c_str(), label.c_str());
+            jobs_.gather(task.info, task.attempt, task.piece);
+        }
+        if (task.phase == "pulling") return;
+        Jobs::Gang gang = jobs_.gang(task.info, task.attempt);
+        if (task.phase == "gathering" && gang.started_at) {
+            task.phase = "running";
+            changed_ = true;
+            ++jobs_.starts;
+            ++began[label];
+        } else if (task.phase == "gathering" && now() > task.gathers_from + facts_.gang_wait_s) {
+            exit(task, "incomplete");
+            ++ended[label + " incomplete"];
+        } else if (task.phase == "running" && gang.done) {
+            exit(task, "done");
+            jobs_.set_done(task.piece);
+            ++ended[label + " done"];
+        } else if (task.phase == "running" && gang.broken_at && now() > *gang.broken_at + facts_.gang_peer_s) {
+            exit(task, "mates_gone");
+            ++ended[label + " mates_gone"];
+        }
+    }
+
     void report_all() {
         double next_at = now() + uniform(0, 0.5), last_sent = -1;
         while (true) {
@@ -609,7 +737,9 @@
     std::mutex mutex_;
     std::unique_ptr<HttpServer> server_;
     std::vector<Task> tasks_;
-    std::map<std::string, double> images_;  // when the machine has them
+    std::set<std::string> cached_;           // images
+    std::map<std::string, double> fetches_;  // since when
+    double fetch_share_ = 1;
     int64_t tenure_ = 1, tick_ = 0, epoch_ = 0;
     double lease_from_ = 0;
     size_t node_ = 0;
@@ -848,7 +978,8 @@
         for (size_t i = 0; i < facts_.zones.size(); ++i) out << (i ? ", " : "") << '"' << facts_.zones[i] << '"';
         out << "]\nskew_ms = 250.0\n";
         for (const auto& team : facts_.teams)
-            out << "[[facts.teams]]\nname = \"" << team << "\"\ncpus = 0.0\ncpus_max = 0.0\ngpus = 0.0\ngpus_max = 0.0\n";
+            out << "[[facts.teams]]\nname = \"" << team.name << "\"\ncpus = 0.0\ncpus_max = 0.0\ngpus = " << team.gpus
+                << "\ngpus_max = " << team.gpus_max << "\n";
         out << "[[facts.objectives]]\nkind = \"finished\"\nclass = \"etiqueta-scan\"\nwithin_s = 250.0\nshare = 0.9\n"
             << "[facts.workers]\nreport_s = " << facts_.report_s << "\nlease_s = " << facts_.lease_s
             << "\ngang_wait_s = " << facts_.gang_wait_s << "\ngang_peer_s = " << facts_.gang_peer_s
