--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,7 +3,7 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-for scenario in review/[4-8]/scenario.cc; do
-    case_number=$(basename "$(dirname "$scenario")")
-    g++ -std=c++20 -O1 -Wall -Wextra -pthread "$scenario" -o "target/review-2/$case_number"
+for source in review/[4-8]/case.cc; do
+    case_number=$(basename "$(dirname "$source")")
+    g++ -std=c++20 -O1 -Wall -Wextra -pthread "$source" -o "target/review-2/$case_number"
 done
--- a/review/standins-2/platform.h
+++ b/review/standins-2/platform.h
@@ -452,6 +452,13 @@
         std::lock_guard lock(mutex_);
         return tasks_.size();
     }
+    // Tasks of the job that are on the machine.
+    size_t live(const std::string& job) {
+        std::lock_guard lock(mutex_);
+        size_t n = 0;
+        for (const auto& task : tasks_) n += task.job == job && task.phase != "exited";
+        return n;
+    }
     // Bytes of its longest report so far, as JSON.
     size_t longest_report() {
         std::lock_guard lock(mutex_);
@@ -760,9 +767,18 @@
     }
     int port() const { return server_.port(); }
     // A machine that is up at the start.
-    void add_up(const std::string& zone) {
+    std::string add_up(const std::string& zone, bool spot = false) {
+        std::lock_guard lock(mutex_);
+        return add(zone, spot, -100, now());
+    }
+    // The cloud takes a cheap machine back, without a notice.
+    void take_back(const std::string& name) {
         std::lock_guard lock(mutex_);
-        add(zone, false, -100, now());
+        Host& host = hosts_.at(name);
+        if (host.gone_at >= 0) return;
+        record.line("the cloud takes %s back", name.c_str());
+        host.gone_at = now();
+        if (host.worker) host.worker->remove();
     }
     // The machines that are up.
     std::map<std::string, std::shared_ptr<Worker>> workers() {
