--- a/review/5/case.cc
+++ b/review/5/case.cc
@@ -1,4 +1,4 @@
-// One machine has the gang's image, the other fetches it a third slower than nominal. Does the gang ever start?
+// One machine has the gang's image, the other fetches it a quarter slower than nominal. Does the gang ever start?
 #include "../standins-2/platform.h"
 
 using namespace site;
@@ -40,9 +40,9 @@
     // vm-000001 has the image from earlier work.
     for (const auto& [name, worker] : cloud.workers()) {
         if (name == "vm-000001") worker->give_image(job.bundle);
-        if (trouble) worker->set_fetch(2.0 / 3);
+        if (trouble) worker->set_fetch(0.75);
     }
-    record.line("the machines fetch images at %.0f%% of the nominal rate", trouble ? 66.7 : 100.0);
+    record.line("the machines fetch images at %.0f%% of the nominal rate", trouble ? 75.0 : 100.0);
     sleep_s(4);  // the workers have found the leader
 
     Users users(nodes.client_ports());
