--- a/review/4/case.cc
+++ b/review/4/case.cc
@@ -18,7 +18,7 @@
     for (const auto& zone : facts.zones)
         for (int i = 0; i < 2; ++i) cloud.add_up(zone);
     nodes.start_all(store, cloud.port());
-    if (!nodes.wait_ready(15)) finish(nodes, 2, "the controllers were not ready");
+    if (!nodes.wait_ready(30)) finish(nodes, 2, "the controllers were not ready");
     while (cloud.workers().size() < 4) sleep_s(0.05);
     sleep_s(4);  // the workers have found the leader
 
--- a/review/5/case.cc
+++ b/review/5/case.cc
@@ -17,7 +17,7 @@
     Cloud cloud(facts, jobs, nodes.client_ports(), 8);
     for (int i = 0; i < 2; ++i) cloud.add_up("midtown-zone");
     nodes.start_all(store, cloud.port());
-    if (!nodes.wait_ready(15)) finish(nodes, 2, "the controllers were not ready");
+    if (!nodes.wait_ready(30)) finish(nodes, 2, "the controllers were not ready");
     while (cloud.workers().size() < 2) sleep_s(0.05);
 
     JobInfo job;
--- a/review/6/case.cc
+++ b/review/6/case.cc
@@ -19,7 +19,7 @@
     for (int i = 0; i < 5; ++i) cloud.add_up("midtown-zone");
     for (int i = 0; i < 4; ++i) cloud.add_up("rented-zone", true);
     nodes.start_all(store, cloud.port());
-    if (!nodes.wait_ready(15)) finish(nodes, 2, "the controllers were not ready");
+    if (!nodes.wait_ready(30)) finish(nodes, 2, "the controllers were not ready");
     while (cloud.workers().size() < 9) sleep_s(0.05);
     sleep_s(4);  // the workers have found the leader
 
