Keep a gang's attempt while one of its tasks fetches its image

Users saw an accepted gang that never started: one machine had its image, another needed 42 s to fetch it, and a task waits for its peers for 35 s only.

The cause is that the end of one task before the gang's start ended the attempt, and the attempt holds the fetch. Now the attempt goes on while another task of it fetches, and a replacement joins it with the same number, as the protocol provides. Related ways to lose a fetch: a peer that fails before the start, and a leader that inherits the attempt and took every inherited gang for started; it now waits for the heartbeat that tells. The fleet plan requests machines for replacements too. As a replacement may go to the machine of the task that it replaces, an exit of an inherited task counts only from a machine that has the leader's fencing token: a late copy of a heartbeat must not end it.

--- a/src/fleet/work_placement.cc
+++ b/src/fleet/work_placement.cc
@@ -61,7 +61,8 @@
     if (!spec.gang())
         while (tasks > 1 && !context_.cluster.within_limit(config, spec, tasks, {})) tasks /= 2;
     if (!context_.cluster.within_limit(config, spec, tasks, {})) return 0;
-    return spec.gang() && !job.live.empty() ? 0 : tasks;
+    // A gang waits until its previous attempt has ended, unless the attempt still accepts replacements.
+    return spec.gang() && !job.live.empty() && !job.gang_attempt.accepts_replacements() ? 0 : tasks;
 }
 
 void WorkPlacement::place_across_zones(const Job& job, uint32_t tasks) {
--- a/src/jobs/heartbeat_processor.cc
+++ b/src/jobs/heartbeat_processor.cc
@@ -34,6 +34,15 @@
                .moves_to(TaskState::kDone);
 }
 
+// Whether a task of the gang other than this one fetches its image, as far as is known.
+bool other_task_fetches(const Job& job, uint32_t task) {
+    return std::any_of(job.live.begin(), job.live.end(), [&](const auto& entry) {
+        const Placement& placement = entry.second;
+        bool known = placement.acknowledged || placement.from_earlier_leader;
+        return entry.first != task && known && !placement.stopping && placement.phase == TaskPhase::kFetching;
+    });
+}
+
 }  // namespace
 
 std::vector<MachineTask>::const_iterator find_attempt(const std::vector<MachineTask>& tasks, size_t hint,
@@ -45,16 +54,16 @@
 
 bool JobTable::apply_heartbeat(Cluster& cluster, Machine& machine, const WorkerHeartbeat& heartbeat,
                                Absence absence, Seconds now) {
-    return HeartbeatProcessor(*this, cluster, machine, heartbeat, now).run(absence);
+    return HeartbeatProcessor(*this, cluster, machine, heartbeat, absence, now).run();
 }
 
-bool HeartbeatProcessor::run(Absence absence) {
+bool HeartbeatProcessor::run() {
     previous_tasks_ = std::exchange(machine_.tasks, {});
     changed_ = previous_tasks_.size() != heartbeat_.tasks.size();
     machine_.tasks.reserve(heartbeat_.tasks.size());
     apply_machine_state();
     for (const auto& status : heartbeat_.tasks) apply_task_status(status);
-    if (absence == Absence::kProven) handle_absent_tasks();
+    if (absence_ == Absence::kProven) handle_absent_tasks();
     return changed_;
 }
 
@@ -96,8 +105,7 @@
     auto entry = job.live.find(status.name.task);
     bool is_placed = entry != job.live.end() && entry->second.machine == machine_.name &&
                      entry->second.attempt == status.attempt;
-    // A replacement task of a gang may be bound to a machine that still lists an exit of the same attempt.
-    if (is_placed && known_exit && !entry->second.acknowledged) is_placed = false;
+    if (is_placed && may_precede_replacement(job, entry->second, status, known_exit)) is_placed = false;
 
     if (is_placed) {
         handle_present_task(job, entry->second, status);
@@ -111,6 +119,16 @@
     task.exit_version = job.persistence.version;
 }
 
+// A replacement task of a gang may be bound to a machine on which a task of the same attempt has exited. The
+// machine lists that exit until it has forgotten it, and at a new leader a late heartbeat may list it
+// although the replacement has been launched since.
+bool HeartbeatProcessor::may_precede_replacement(const Job& job, const Placement& placement,
+                                                 const TaskStatus& status, bool known_exit) const {
+    if (known_exit && !placement.acknowledged) return true;
+    return job.spec.gang() && placement.from_earlier_leader && absence_ == Absence::kUnproven &&
+           is_exit(status) && status.cause != ExitCause::kDone;
+}
+
 void HeartbeatProcessor::handle_present_task(Job& job, Placement& placement, const TaskStatus& status) {
     present_.push_back(&placement);
     if (placement.phase != status.phase || !placement.acknowledged)
@@ -121,12 +139,25 @@
     if (status.phase == TaskPhase::kRunning) {
         if (!placement.running_since) placement.running_since = now_;
         if (job.spec.service()) account_running_replica(job, placement, now_);
-        job.gang_attempt.started = true;
     }
     // The task was launched, so a response reached the machine.
     if (!placement.acknowledged && placement.launch.responses > 0) machine_.unreachable_since.reset();
     placement.acknowledged = true;
     placement.phase = status.phase;
+    if (job.spec.gang()) observe_gang_start(job, status.phase);
+}
+
+void HeartbeatProcessor::observe_gang_start(Job& job, TaskPhase phase) {
+    GangAttempt& attempt = job.gang_attempt;
+    if (phase == TaskPhase::kFetching || phase == TaskPhase::kWaiting) {
+        if (attempt.start == GangStart::kUnknown) attempt.start = GangStart::kNotStarted;
+    } else if (phase == TaskPhase::kRunning || phase == TaskPhase::kSaving) {
+        attempt.start = GangStart::kStarted;
+        if (job.pending.empty() || attempt.broken || job.cancelled) return;
+        // It runs without one of its tasks, which none can replace any more.
+        attempt.broken = true;
+        table_.stop_gang(job, 0);
+    }
 }
 
 void HeartbeatProcessor::handle_exited_task(Job& job, const TaskStatus& status) {
@@ -151,7 +182,7 @@
         log::info("launch_refused", {{"task", status.name.text()},
                                      {"machine", machine_.name},
                                      {"cause", exit_cause_name(status.cause)}});
-    if (job.spec.gang()) break_gang_on_exit(job, status.cause);
+    if (job.spec.gang()) break_gang_on_exit(job, task, status.cause);
     table_.release(job, task, now_);
     // The other tasks of a gang that is being stopped may still be saving; those of a failed one cannot save.
     bool stopped_by_command = status.cause == ExitCause::kStopped;
@@ -165,12 +196,18 @@
         job.run_times.add(placement.run_time(now_));
 }
 
-void HeartbeatProcessor::break_gang_on_exit(Job& job, ExitCause cause) const {
-    // A started gang that loses a task ends. Before the start a replacement task may complete the gang,
-    // unless the task failed or timed out while waiting for its peers.
-    if (job.gang_attempt.started || cause == ExitCause::kIncomplete || cause == ExitCause::kPeersGone ||
-        cause == ExitCause::kError)
-        job.gang_attempt.broken = true;
+void HeartbeatProcessor::break_gang_on_exit(Job& job, uint32_t task, ExitCause cause) {
+    GangAttempt& attempt = job.gang_attempt;
+    // The task has waited for its peers until now.
+    if (cause == ExitCause::kIncomplete && attempt.start == GangStart::kUnknown)
+        attempt.start = GangStart::kNotStarted;
+    // A started gang that loses a task ends. Before the start a replacement task may complete the gang. If
+    // the task failed or timed out while waiting for its peers, the attempt is continued only for the sake of
+    // a fetch: ended with the attempt, the fetch would begin anew in the next one, and as its peers would
+    // time out again, the gang would never start.
+    bool ends_attempt = attempt.started() || cause == ExitCause::kPeersGone;
+    bool failed = cause == ExitCause::kIncomplete || cause == ExitCause::kError;
+    if (ends_attempt || (failed && !other_task_fetches(job, task))) attempt.broken = true;
 }
 
 void HeartbeatProcessor::handle_absent_tasks() {
@@ -199,7 +236,7 @@
     TaskEvent event = given_up ? TaskEvent::kLaunchGivenUp : TaskEvent::kAbsent;
     if (!transition(placed_state(job, placement), event).moves_to(TaskState::kPending)) return;
     changed_ = true;
-    if (job.spec.gang() && job.gang_attempt.started) job.gang_attempt.broken = true;
+    if (job.spec.gang() && job.gang_attempt.started()) job.gang_attempt.broken = true;
     table_.release(job, task, now_);
     if (job.spec.gang() && job.gang_attempt.broken && !job.cancelled) table_.stop_gang(job, 0);
 }
--- a/src/jobs/heartbeat_processor.h
+++ b/src/jobs/heartbeat_processor.h
@@ -16,21 +16,32 @@
 class HeartbeatProcessor {
   public:
     HeartbeatProcessor(JobTable& table, Cluster& cluster, Machine& machine, const WorkerHeartbeat& heartbeat,
-                       Seconds now)
-        : table_(table), cluster_(cluster), machine_(machine), heartbeat_(heartbeat), now_(now) {}
+                       Absence absence, Seconds now)
+        : table_(table),
+          cluster_(cluster),
+          machine_(machine),
+          heartbeat_(heartbeat),
+          absence_(absence),
+          now_(now) {}
 
     // Returns whether free resources or task phases changed.
-    bool run(Absence absence);
+    bool run();
 
   private:
     void apply_machine_state();
     void apply_task_status(const TaskStatus& status);
     // `known_exit`: an earlier heartbeat listed the exit. `task`: the entry to be added to Machine::tasks.
     void apply_status_of_known_job(Job& job, const TaskStatus& status, bool known_exit, MachineTask& task);
+    // Whether the status of the placement's attempt may be that of a task which the placement has replaced.
+    [[nodiscard]] bool may_precede_replacement(const Job& job, const Placement& placement,
+                                               const TaskStatus& status, bool known_exit) const;
     void handle_present_task(Job& job, Placement& placement, const TaskStatus& status);
     void handle_exited_task(Job& job, const TaskStatus& status);
     void record_run_time(Job& job, uint32_t task);
-    void break_gang_on_exit(Job& job, ExitCause cause) const;
+    // Infers from the phase of a task of a gang whether its attempt has started.
+    void observe_gang_start(Job& job, TaskPhase phase);
+    // Ends the gang's attempt if no replacement of the exited task may join it.
+    static void break_gang_on_exit(Job& job, uint32_t task, ExitCause cause);
     void handle_absent_tasks();
     void handle_absent_task(Job& job, uint32_t task, const Placement& placement);
 
@@ -38,6 +49,7 @@
     Cluster& cluster_;
     Machine& machine_;
     const WorkerHeartbeat& heartbeat_;
+    Absence absence_;
     Seconds now_;
     bool changed_ = false;
     std::vector<MachineTask> previous_tasks_;  // of the previous heartbeat
--- a/src/jobs/job_table.cc
+++ b/src/jobs/job_table.cc
@@ -69,14 +69,10 @@
         placement.bound_at = now;
         placements_.add(stored.machine, {&job, task, &(job.live[task] = placement)});
         job.pending.remove(task);
-        // A gang's tasks share an attempt. The record does not say whether it has started; it is assumed to
-        // have, so that no replacement task joins an attempt that has already run.
+        // A gang's tasks share an attempt. The record does not say whether it has started. Until a heartbeat
+        // tells, no replacement task joins it and none of its tasks is stopped.
         job.gang_attempt.number = std::max(job.gang_attempt.number, stored.attempt);
-        job.gang_attempt.started = true;
-    }
-    if (job.spec.gang() && !job.live.empty() && job.live.size() < job.spec.tasks) {
-        job.gang_attempt.broken = true;
-        stop_gang(job, 0);
+        job.gang_attempt.start = GangStart::kUnknown;
     }
 }
 
@@ -217,7 +213,7 @@
     auto tasks = placements_on(machine);
     for (const auto& placed : tasks) {
         Job& job = *placed.job;
-        if (job.spec.gang() && job.gang_attempt.started) job.gang_attempt.broken = true;
+        if (job.spec.gang() && job.gang_attempt.started()) job.gang_attempt.broken = true;
         release(job, placed.task, now);
     }
 }
--- a/src/jobs/job_table.h
+++ b/src/jobs/job_table.h
@@ -22,7 +22,8 @@
 
 // Whether a heartbeat that does not list a task placed on its machine proves that the task is not there.
 enum class Absence : uint8_t {
-    kUnproven,  // a launch by an earlier leader may still arrive
+    kUnproven,  // a launch by an earlier leader may still arrive, or may have arrived since a late heartbeat
+    kFenced,    // the machine has this leader's fencing token, but this leader's own launch may still arrive
     kProven,    // the machine has this leader's fencing token: launches of earlier leaders have no effect
 };
 
--- a/src/leader/command_sender.cc
+++ b/src/leader/command_sender.cc
@@ -43,8 +43,11 @@
                                                 incarnation, std::move(stops));
         machine = dependencies_.cluster.machine(machine_name);
         if (heartbeat && machine && heartbeat->newer_than(machine->incarnation, machine->sequence)) {
+            // A launch in the response to a heartbeat may still be on its way.
+            const bool fenced = heartbeat->fencing_token == dependencies_.fencing_token;
             dependencies_.jobs.apply_heartbeat(dependencies_.cluster, *machine, *heartbeat,
-                                               Absence::kUnproven, dependencies_.loop.now());
+                                               fenced ? Absence::kFenced : Absence::kUnproven,
+                                               dependencies_.loop.now());
             dependencies_.pass_requests.request();
             if (incarnation == 0) dependencies_.connections.of(machine_name).resend = true;
         }
--- a/src/scheduler/gang_placement.cc
+++ b/src/scheduler/gang_placement.cc
@@ -38,7 +38,7 @@
     bool new_attempt = job.live.empty();
     // Tasks of the previous attempt are still on their machines. A gang that has started or is ending gets
     // no replacement tasks.
-    if (!new_attempt && (job.gang_attempt.started || job.gang_attempt.broken)) {
+    if (!new_attempt && !job.gang_attempt.accepts_replacements()) {
         job.wait.reason = WaitReason::kPreviousAttemptNotEnded;
         return;
     }
--- a/src/scheduler/reservation.cc
+++ b/src/scheduler/reservation.cc
@@ -17,7 +17,7 @@
     uint32_t pending = job.pending.size();
     if (job.spec.gang()) {
         // A gang that has started or is ending gets no replacement tasks.
-        if (!job.live.empty() && (job.gang_attempt.started || job.gang_attempt.broken)) return 0;
+        if (!job.live.empty() && !job.gang_attempt.accepts_replacements()) return 0;
         return quota.within_limit(job.spec, pending) ? pending : 0;
     }
     // An array preempts others only within its team's guarantee, and for no more tasks than the team's
--- a/tests/jobs/task_lifecycle_test.cc
+++ b/tests/jobs/task_lifecycle_test.cc
@@ -122,7 +122,7 @@
     auto task0 = task_status("job-1", 0, 1, TaskPhase::kRunning),
          task1 = task_status("job-1", 1, 1, TaskPhase::kRunning);
     jobs.apply_heartbeat(cluster, machine, heartbeat(machine, {task0, task1}), Absence::kProven, now += 3);
-    EXPECT_TRUE(gang.gang_attempt.started);
+    EXPECT_TRUE(gang.gang_attempt.started());
     exit_task(task0, ExitCause::kPeersGone);
     jobs.apply_heartbeat(cluster, machine, heartbeat(machine, {task0, task1}), Absence::kProven, now += 3);
     EXPECT_TRUE(schedule_for({&first, &second}).empty());
