Place no more tasks on a machine than its heartbeat can list, and accept any heartbeat

A well-formed heartbeat is now accepted however many tasks it lists; the size of a body limits them, as for each request. The room in a heartbeat is a resource of the machine (Resources::list_bytes), so that the scheduler, reservations, preemption and the fleet plan count it alike; tasks that have exited take it until they are forgotten. A task takes an upper bound of its entry, 128 bytes or more, which makes 504 tasks a machine: fewer than the 512 that the version in production accepts. Commands are limited to a body in the same way and follow after the next heartbeat.

--- a/src/base/constants.h
+++ b/src/base/constants.h
@@ -8,8 +8,8 @@
 
 // --- protocol limits --------------------------------------------------------------------------------
 
-// Bytes of a request body (protocol limit).
-inline constexpr size_t kRequestBodyLimit = size_t{64} * 1024;
+// Bytes of a request body, and of a response to a worker or user (protocol limit).
+inline constexpr size_t kBodyLimit = size_t{64} * 1024;
 // Tasks per job (protocol limit).
 inline constexpr uint32_t kMaxTasksPerJob = 100'000;
 // Machines per request to scale out (protocol limit).
@@ -213,8 +213,17 @@
 inline constexpr double kHeartbeatCommitWaitPastHold_s = 0.4;
 // Safety margin in seconds, for latency and drift, of the time for which a leader may renew workers' leases.
 inline constexpr double kRenewalRightMargin_s = 2.0;
-// Tasks in a heartbeat; one with more is malformed.
-inline constexpr size_t kMaxTasksPerHeartbeat = 512;
+// Maximum JSON bytes of a heartbeat, of the response to one or of direct commands without their lists.
+inline constexpr size_t kWorkerBodyHeadBytes = 1024;
+// JSON bytes that a body exchanged with a worker has for its list of tasks or commands.
+inline constexpr size_t kTaskListBytes = kBodyLimit - kWorkerBodyHeadBytes;
+// Maximum JSON bytes of a task's status or of a command, without the job's id.
+inline constexpr size_t kTaskEntryOverheadBytes = 108;
+// JSON bytes that are reckoned for a task at least. A machine then has fewer than 512 tasks, the most that
+// the version in production accepts in a heartbeat.
+inline constexpr size_t kMinTaskEntryBytes = 128;
+// Tasks that a machine can have at most.
+inline constexpr uint32_t kMaxTasksPerMachine = kTaskListBytes / kMinTaskEntryBytes;
 // Seconds for a command that is sent directly to a worker.
 inline constexpr double kWorkerCommandTimeout_s = 2.0;
 // Age, in multiples of heartbeat_interval_s, beyond which a heartbeat is no evidence of free resources.
--- a/src/fleet/fleet_capacity.cc
+++ b/src/fleet/fleet_capacity.cc
@@ -87,7 +87,7 @@
 void FleetCapacity::add_requested(const MachineKind& kind, const MachineType& type, bool new_request) {
     PlannedMachine planned;
     planned.kind = kind;
-    planned.free = {type.cpus, type.gpus, type.memory_gb};
+    planned.free = Resources::of_machine(type.cpus, type.gpus, type.memory_gb);
     planned.new_request = new_request;
     machines_.push_back(planned);
     ++in_zone_[kind.zone];
--- a/src/fleet/work_placement.cc
+++ b/src/fleet/work_placement.cc
@@ -133,7 +133,7 @@
 std::vector<MachineKind> WorkPlacement::kinds_for(const JobSpec& spec) const {
     std::vector<KindRank> ranks;
     for (const MachineType& type : context_.cluster.machine_types) {
-        Resources amount{type.cpus, type.gpus, type.memory_gb};
+        Resources amount = Resources::of_machine(type.cpus, type.gpus, type.memory_gb);
         uint32_t tasks_per_machine = amount.count_fitting(spec, constants::kMaxTasksPerJob);
         if (tasks_per_machine == 0) continue;
         for (const auto& zone : type.zones)
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -13,7 +13,7 @@
     std::string path;   // without the query
     std::string query;  // the part after the question mark, not decoded; empty if there is none
     std::string body;
-    bool oversized = false;  // the body exceeded constants::kRequestBodyLimit and was discarded
+    bool oversized = false;  // the body exceeded constants::kBodyLimit and was discarded
     bool abandoned = false;  // the client has closed the connection and does not wait for a response
 };
 
--- a/src/http/request_parser.h
+++ b/src/http/request_parser.h
@@ -25,7 +25,7 @@
         callbacks().on_header_value = callbacks().on_header_field;
         callbacks().on_headers_complete = [](http_parser* parser) {
             bool has_length = parser->content_length != ULLONG_MAX;
-            if (has_length && parser->content_length > constants::kRequestBodyLimit)
+            if (has_length && parser->content_length > constants::kBodyLimit)
                 self(parser).request_.oversized = true;
             return 0;
         };
@@ -71,7 +71,7 @@
     }
     int append_body(const char* data, size_t size) {
         body_size_ += size;
-        if (body_size_ > constants::kRequestBodyLimit) request_.oversized = true;
+        if (body_size_ > constants::kBodyLimit) request_.oversized = true;
         if (body_size_ > constants::kOversizedBodyReadLimit) return 1;
         if (request_.oversized) {
             request_.body.clear();
--- a/src/jobs/job_table.h
+++ b/src/jobs/job_table.h
@@ -94,8 +94,9 @@
     // or other readers have to act on it (free resources or task phases changed).
     bool apply_heartbeat(Cluster& cluster, Machine& machine, const WorkerHeartbeat& heartbeat,
                          Absence absence, Seconds now);
-    // The current commands for the machine: stops, forgets, and launches of committed placements. Records for
-    // each launch that the response to the machine's newest heartbeat carries it.
+    // The current commands for the machine: stops, forgets, and launches of committed placements, as many as
+    // one body may hold. Records for each launch that the response to the machine's newest heartbeat carries
+    // it.
     std::vector<Command> commands(Machine& machine, LaunchCommands launches);
     // Machines that got new stops since the last call. A stop is sent without waiting for a heartbeat.
     std::set<std::string> take_machines_with_new_stops() {
@@ -122,6 +123,9 @@
     void release(Job& job, uint32_t task, Seconds now);
     // Marks the task as done, and all tasks of a gang with it.
     void complete(Job& job, uint32_t task, Seconds now);
+    void add_stops(CommandList& commands, const Machine& machine) const;
+    void add_forgets(CommandList& commands, const Machine& machine) const;
+    void add_launches(CommandList& commands, const Machine& machine);
     void begin_stop(Placement& placement, Seconds grace_s);
     void stop_gang(Job& job, Seconds grace_s);
 
--- a/src/jobs/machine_commands.cc
+++ b/src/jobs/machine_commands.cc
@@ -1,5 +1,7 @@
 // Derives the commands for a machine from its last heartbeat and the placements on it.
 #include <algorithm>
+#include <optional>
+#include <utility>
 
 #include "jobs/heartbeat_processor.h"
 #include "jobs/job_table.h"
@@ -19,16 +21,13 @@
     return placement.machine == machine.name && placement.attempt == task.attempt ? &placement : nullptr;
 }
 
-void add_stop(std::vector<Command>& commands, const Machine& machine, const MachineTask& task,
-              const Job* job) {
+// The stop that a listed task needs; none if it may go on.
+std::optional<Command> stop_for(const Machine& machine, const MachineTask& task, const Job* job) {
     const Placement* placement = placement_of(job, machine, task);
-    if (!placement) {
-        commands.push_back({CommandKind::kStop, task.name, task.attempt, 0});
-        return;
-    }
+    if (!placement) return Command{CommandKind::kStop, task.name, task.attempt, 0};
     bool already_saving = task.phase == TaskPhase::kSaving && placement->grace_s > 0;
-    if (placement->stopping && !already_saving)
-        commands.push_back({CommandKind::kStop, task.name, task.attempt, placement->grace_s});
+    if (!placement->stopping || already_saving) return std::nullopt;
+    return Command{CommandKind::kStop, task.name, task.attempt, placement->grace_s};
 }
 
 bool may_launch(const Job& job, const Placement& placement) {
@@ -46,26 +45,40 @@
 }  // namespace
 
 std::vector<Command> JobTable::commands(Machine& machine, LaunchCommands launches) {
-    std::vector<Command> commands;
+    // In the order of their urgency, as there may not be room for all.
+    CommandList commands;
+    add_stops(commands, machine);
+    add_forgets(commands, machine);
+    if (launches == LaunchCommands::kInclude) add_launches(commands, machine);
+    return std::move(commands).take();
+}
+
+void JobTable::add_stops(CommandList& commands, const Machine& machine) const {
     for (const auto& task : machine.tasks) {
-        if (unreadable(task.name.job)) continue;
+        if (task.phase == TaskPhase::kExited || unreadable(task.name.job)) continue;
+        auto stop = stop_for(machine, task, find(task.name.job));
+        if (stop && !commands.add(std::move(*stop))) return;
+    }
+}
+
+void JobTable::add_forgets(CommandList& commands, const Machine& machine) const {
+    for (const auto& task : machine.tasks) {
+        if (task.phase != TaskPhase::kExited || unreadable(task.name.job)) continue;
+        // The machine may forget an exit only after its effect is committed to the store.
         const Job* job = find(task.name.job);
-        if (task.phase != TaskPhase::kExited) {
-            add_stop(commands, machine, task, job);
-        } else if (!job || job->persistence.committed(task.exit_version)) {
-            // The machine may forget an exit only after its effect is committed to the store.
-            commands.push_back({CommandKind::kForget, task.name, task.attempt, 0});
-        }
+        if (job && !job->persistence.committed(task.exit_version)) continue;
+        if (!commands.add({CommandKind::kForget, task.name, task.attempt, 0})) return;
     }
-    if (launches == LaunchCommands::kOmit) return commands;
+}
+
+void JobTable::add_launches(CommandList& commands, const Machine& machine) {
     for (const auto& [job, task, placed] : placements_on(machine.name)) {
         if (!may_launch(*job, *placed)) continue;
         TaskName name{job->spec.id, task};
         if (find_attempt(machine.tasks, 0, name, placed->attempt) != machine.tasks.end()) continue;
-        commands.push_back({CommandKind::kLaunch, std::move(name), placed->attempt, 0});
+        if (!commands.add({CommandKind::kLaunch, std::move(name), placed->attempt, 0})) return;
         record_launch(job->live.at(task).launch, machine);
     }
-    return commands;
 }
 
 bool JobTable::awaits_commit(const Machine& machine) const {
--- a/src/jobs/resource_accounting.cc
+++ b/src/jobs/resource_accounting.cc
@@ -11,7 +11,10 @@
         ++usage.placed_tasks;
     }
     for (const auto& task : machine.tasks) {
-        if (task.phase == TaskPhase::kExited) continue;
+        if (task.phase == TaskPhase::kExited) {
+            usage.taken.list_bytes += task_list_bytes(task.name.job);  // until it is forgotten
+            continue;
+        }
         if (const Job* job = jobs.find(task.name.job)) {
             auto placement = job->live.find(task.name.task);
             if (placement != job->live.end() && placement->second.machine == machine.name)
@@ -49,7 +52,7 @@
         machine.usage_valid = true;
     }
     const MachineType* type = cluster.machine_type(machine.machine_type);
-    machine.free = type ? Resources{type->cpus, type->gpus, type->memory_gb} : Resources{};
+    machine.free = type ? Resources::of_machine(type->cpus, type->gpus, type->memory_gb) : Resources{};
     if (type) machine.cache.set_capacity(type->cache_gb);
     machine.free -= machine.usage.taken;
     machine.placed_tasks = machine.usage.placed_tasks;
--- a/src/leader/command_sender.cc
+++ b/src/leader/command_sender.cc
@@ -66,11 +66,15 @@
     // A machine that has not sent this leader a heartbeat may still be controlled by an earlier leader. It
     // refuses the first command, and the refusal contains its incarnation. A command that it accepts also
     // gives it this leader's fencing token, which its heartbeats then pass on to the earlier leader.
-    for (const auto& placed : dependencies_.jobs.placements_on(machine.name))
-        if (placed.job->cancelled)
-            stops.push_back(
-                {CommandKind::kStop, {placed.job->spec.id, placed.task}, placed.placement->attempt, 0});
-    return stops;
+    CommandList list;
+    for (Command& stop : stops)
+        if (!list.add(std::move(stop))) return std::move(list).take();
+    for (const auto& placed : dependencies_.jobs.placements_on(machine.name)) {
+        if (!placed.job->cancelled) continue;
+        TaskName name{placed.job->spec.id, placed.task};
+        if (!list.add({CommandKind::kStop, std::move(name), placed.placement->attempt, 0})) break;
+    }
+    return std::move(list).take();
 }
 
 }  // namespace hareshore
--- a/src/model/resources.cc
+++ b/src/model/resources.cc
@@ -8,6 +8,7 @@
     cpus += other.cpus;
     gpus += other.gpus;
     memory_gb += other.memory_gb;
+    list_bytes += other.list_bytes;
     return *this;
 }
 
@@ -15,6 +16,7 @@
     cpus -= other.cpus;
     gpus -= other.gpus;
     memory_gb -= other.memory_gb;
+    list_bytes -= other.list_bytes;
     return *this;
 }
 
@@ -27,6 +29,7 @@
     limit_by(cpus, spec.cpus);
     limit_by(gpus, spec.gpus);
     limit_by(memory_gb, spec.memory_gb);
+    limit_by(list_bytes, task_list_bytes(spec.id));
     return count <= 0 ? 0 : static_cast<uint32_t>(count);
 }
 
--- a/src/scheduler/gang_placement.cc
+++ b/src/scheduler/gang_placement.cc
@@ -104,14 +104,14 @@
 }
 
 bool GangPlacer::may_have_room(const JobSpec& spec, const std::string& zone, uint32_t tasks) {
-    SizeInZone size{spec.cpus, spec.gpus, spec.memory_gb, zone};
+    SizeInZone size{spec.cpus, spec.gpus, spec.memory_gb, task_list_bytes(spec.id), zone};
     uint32_t& max_slots = max_slots_.try_emplace(std::move(size), UINT32_MAX).first->second;
     if (tasks > max_slots) return false;
     pass_.count_steps(pass_.schedulable.size());
     max_slots = 0;
     for (const Machine* machine : pass_.schedulable)
         if (zone.empty() || machine->zone == zone)
-            max_slots += machine->free.count_fitting(spec, constants::kMaxTasksPerHeartbeat);
+            max_slots += machine->free.count_fitting(spec, constants::kMaxTasksPerMachine);
     return tasks <= max_slots;
 }
 
--- a/src/scheduler/gang_placement.h
+++ b/src/scheduler/gang_placement.h
@@ -32,6 +32,7 @@
         double cpus = 0;
         double gpus = 0;
         double memory_gb = 0;
+        double list_bytes = 0;
         std::string zone;  // empty: all zones
         // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 misreads a defaulted <=>
         auto operator<=>(const SizeInZone&) const = default;
--- a/src/scheduler/machine_capacity.cc
+++ b/src/scheduler/machine_capacity.cc
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr uint32_t kMaxSlots = constants::kMaxTasksPerHeartbeat;  // a heartbeat lists no more tasks
+constexpr uint32_t kMaxSlots = constants::kMaxTasksPerMachine;
 
 // The expected end of a task and the resources it frees.
 struct TaskEnd {
@@ -105,6 +105,7 @@
     return {spec.cpus,
             spec.gpus,
             spec.memory_gb,
+            task_list_bytes(spec.id),
             spec.machine_types,
             spec.zone,
             spec.spot,
--- a/src/scheduler/machine_capacity.h
+++ b/src/scheduler/machine_capacity.h
@@ -50,6 +50,7 @@
         double cpus = 0;
         double gpus = 0;
         double memory_gb = 0;
+        double list_bytes = 0;
         std::vector<std::string> machine_types;
         std::string zone;
         bool spot = false;
--- a/src/workers/command.h
+++ b/src/workers/command.h
@@ -2,6 +2,8 @@
 #pragma once
 #include <cstdint>
 #include <string_view>
+#include <utility>
+#include <vector>
 
 #include "base/clock.h"
 #include "model/task_name.h"
@@ -25,4 +27,17 @@
     Seconds grace_s = 0;  // with kStop: the grace period for saving a checkpoint
 };
 
+// Commands for one worker, no more than one body may hold. What does not fit is derived again from the
+// worker's next heartbeat.
+class CommandList {
+  public:
+    // Adds the command; returns false if there is no room for it.
+    bool add(Command command);
+    [[nodiscard]] std::vector<Command> take() && { return std::move(commands_); }
+
+  private:
+    std::vector<Command> commands_;
+    double bytes_ = 0;
+};
+
 }  // namespace hareshore
--- a/src/workers/worker_wire.cc
+++ b/src/workers/worker_wire.cc
@@ -104,10 +104,9 @@
     if (!decode_header(root, *heartbeat)) return std::nullopt;
     MsgpackValue tasks = root["pieces"];
     if (!tasks.null() && !tasks.is_list()) return std::nullopt;
-    if (tasks.size() > constants::kMaxTasksPerHeartbeat) return std::nullopt;
-    heartbeat->tasks.resize(tasks.size());
+    // The size of the body limits their number.
     for (size_t i = 0; i < tasks.size(); ++i)
-        if (!decode_task(tasks.at(i), heartbeat->tasks[i])) return std::nullopt;
+        if (!decode_task(tasks.at(i), heartbeat->tasks.emplace_back())) return std::nullopt;
     return heartbeat;
 }
 
--- a/tests/leader/heartbeats_test.cc
+++ b/tests/leader/heartbeats_test.cc
@@ -22,6 +22,35 @@
     EXPECT_EQ(worker.fencing_token, deployment.node(deployment.leader()).election().fencing_token());
 }
 
+// Guards against healthy machines that are deleted because their heartbeats are refused: heartbeats and
+// responses may be as large as the protocol allows, also between controllers.
+TEST(WorkerHeartbeats, RelaysBodiesOfTheLargestSize) {
+    Deployment deployment(2);
+    ASSERT_TRUE(deployment.start_and_elect());
+    int other = 1 - deployment.leader();
+    deployment.run(3);
+    FakeWorker worker;
+    EXPECT_EQ(deployment.send_heartbeat(worker, other), 421);
+    deployment.run(5);
+    constexpr uint32_t kTasksPerStep = 20;
+    constexpr size_t kStepBytes = 2048;
+    while (worker.next_heartbeat().size() + kStepBytes < constants::kBodyLimit)
+        for (uint32_t i = 0; i < kTasksPerStep; ++i) {
+            auto task = static_cast<uint32_t>(worker.tasks.size());
+            worker.tasks.push_back({{"job-7", task}, 1, TaskPhase::kExited, ExitCause::kDone, false});
+        }
+    const size_t listed = worker.tasks.size();
+    EXPECT_GT(listed, 512U);
+    EXPECT_EQ(deployment.send_heartbeat(worker, other), 200);
+    const size_t forgotten = listed - worker.tasks.size();
+    EXPECT_GE(forgotten, 500U) << "the response has a forget command for as many tasks as fit";
+    for (int i = 0; i < 3 && !worker.tasks.empty(); ++i) {
+        deployment.run(1);
+        EXPECT_EQ(deployment.send_heartbeat(worker, other), 200);
+    }
+    EXPECT_TRUE(worker.tasks.empty());
+}
+
 // After a failover all workers send heartbeats at once. Heartbeats that arrive together must share scheduling
 // passes, so that the work grows with the number of heartbeats, not with heartbeats times machines.
 TEST(WorkerHeartbeats, SimultaneousHeartbeatsShareSchedulingPasses) {
