--- a/tests/scheduler/gang_reservation_test.cc
+++ b/tests/scheduler/gang_reservation_test.cc
@@ -8,7 +8,30 @@
 
 namespace {
 
-struct GangReservation : SchedulingTest {};
+struct GangReservation : SchedulingTest {
+    static JobSpec service_spec(const std::string& id, uint32_t replicas, PriorityClass priority) {
+        JobSpec spec = job_spec(id, replicas, JobKind::kService);
+        spec.priority = priority;
+        spec.checkpoint_s = spec.save_s = spec.estimate_s = 0;
+        return spec;
+    }
+    static JobSpec idle_array(const std::string& id, uint32_t tasks) {
+        JobSpec spec = job_spec(id, tasks);
+        spec.priority = PriorityClass::kIdle;
+        spec.estimate_s = 20;
+        return spec;
+    }
+    // Places all tasks of the job on the machine, as running.
+    void run_on(Machine& machine, Job& job) {
+        std::vector<TaskStatus> running;
+        for (uint32_t task = 0; task < job.spec.tasks; ++task) {
+            jobs.bind(job, task, machine, task + 1, now);
+            running.push_back(task_status(job.spec.id, task, task + 1, TaskPhase::kRunning));
+        }
+        mark_committed(job);
+        apply_heartbeat(machine, running);
+    }
+};
 
 }  // namespace
 
@@ -124,3 +147,65 @@
     busy.pending = {};
     EXPECT_EQ(schedule_for({&first, &second}).size(), 2U);
 }
+
+// Guards against work that never runs again beside empty machines: a gang that its team's limit cannot take
+// beside a running service must not keep the rest of the limit from the team's other work, not even when it
+// starves.
+TEST_F(GangReservation, ReservesNoLimitThatServicesDoNotGiveBack) {
+    Machine &first = add_machine("vm-1"), &second = add_machine("vm-2");
+    run_on(first, add_job(service_spec("job-1", 2, PriorityClass::kProduction)));
+    Job& gang = add_job(job_spec("job-2", 3, JobKind::kGang));  // 2 + 3 GPUs of 4
+    add_job(idle_array("job-3", 1));
+    EXPECT_EQ(schedule_for({&second}).size(), 1U);
+    EXPECT_EQ(gang.wait.reason, WaitReason::kTeamLimit);
+    now += settings.begin_bound_s + 1;
+    add_job(idle_array("job-4", 1));
+    EXPECT_EQ(schedule_for({&second}).size(), 1U);
+}
+
+// Guards against a service of production rank that stays short of a replica because of a gang of lower rank
+// that could not use what the replica gave back.
+TEST_F(GangReservation, ServiceReplacesLostReplicaBesideStarvedGang) {
+    Machine &first = add_machine("vm-1"), &second = add_machine("vm-2");
+    Job& service = add_job(service_spec("job-1", 2, PriorityClass::kProduction));
+    run_on(first, service);
+    add_job(job_spec("job-2", 4, JobKind::kGang));  // all of the limit
+    now += settings.begin_bound_s + 1;
+    apply_heartbeat(first, {task_status("job-1", 0, 1, TaskPhase::kRunning),
+                            task_status("job-1", 1, 2, TaskPhase::kExited, ExitCause::kError)});
+    ASSERT_EQ(service.pending.size(), 1U);
+    auto bindings = schedule_for({&second});
+    ASSERT_EQ(bindings.size(), 1U);
+    EXPECT_EQ(bindings[0].job, &service);
+}
+
+// The same for a gang of one task, which is placed as tasks of an array are.
+TEST_F(GangReservation, OneTaskGangReservesNoLimitThatServicesDoNotGiveBack) {
+    Machine &first = add_machine("vm-1"), &second = add_machine("vm-2");
+    run_on(first, add_job(service_spec("job-1", 2, PriorityClass::kProduction)));
+    config.teams[0].gpus_max = 3;
+    JobSpec gang = job_spec("job-2", 1, JobKind::kGang);
+    gang.gpus = 2;
+    add_job(gang);
+    add_job(idle_array("job-3", 1));
+    EXPECT_EQ(schedule_for({&second}).size(), 1U);
+}
+
+// A service of lower rank gives nothing back either, but its missing replicas wait for the gang.
+TEST_F(GangReservation, ReservesLimitAgainstMissingReplicasOfLowerRank) {
+    Machine &first = add_machine("vm-1"), &second = add_machine("vm-2");
+    config.teams[0].gpus_max = 3;
+    Job& service = add_job(service_spec("job-1", 2, PriorityClass::kIdle));
+    run_on(first, service);
+    Job& gang = add_job(job_spec("job-2", 2, JobKind::kGang));  // 1 + 2 GPUs of 3
+    schedule_for({});
+    delete_machine("vm-1");
+    jobs.bind(service, 0, second, 9, now);
+    mark_committed(service);
+    Machine& third = add_machine("vm-3");
+    third.spot = true;  // which the gang may not use
+    service.spec.spot = true;
+    EXPECT_TRUE(schedule_for({&third}).empty());
+    EXPECT_EQ(gang.wait.reason, WaitReason::kGangRoom);
+    EXPECT_EQ(service.wait.reason, WaitReason::kTeamLimit);
+}
