Reserve and preempt no more in a zone than a spread gang may use

The reservation counted slots without the rule on zones that placement and fleet plan apply, took the four machines for a complete place, and kept them with an expected start of now, so that nothing was backfilled. Preemption stopped work there for the same reason.

select_slots() now applies ZoneRule to free slots, preemption and expected slots. Both new tests of GangReservation failed before.

--- a/src/scheduler/slot_selection.cc
+++ b/src/scheduler/slot_selection.cc
@@ -5,6 +5,7 @@
 
 #include "base/constants.h"
 #include "scheduler/task_fit.h"
+#include "scheduler/zone_rule.h"
 
 namespace hareshore {
 
@@ -39,15 +40,18 @@
 };
 
 Candidates collect_candidates(const std::string& zone, const Job& job, uint32_t tasks,
-                              const std::vector<MachineCapacity>& capacities) {
+                              const std::vector<MachineCapacity>& capacities, ZoneRule& rule) {
     Candidates candidates;
     uint32_t missing = tasks;
     for (const MachineCapacity& capacity : capacities) {
         Machine* machine = capacity.machine;
         if ((!zone.empty() && machine->zone != zone) || avoids(job, *machine)) continue;
-        uint32_t taken = std::min(missing, capacity.free_slots);
+        uint32_t taken = std::min({missing, capacity.free_slots, rule.remaining(machine->zone)});
         missing -= taken;
-        for (uint32_t i = 0; i < taken; ++i) candidates.free.push_back(machine);
+        for (uint32_t i = 0; i < taken; ++i) {
+            candidates.free.push_back(machine);
+            rule.add(machine->zone);
+        }
         for (size_t i = 0; i < capacity.preemptions.size(); ++i) candidates.steps.push_back({&capacity, i});
         for (Seconds available_at : capacity.expected_slots)
             candidates.expected.push_back({available_at, machine});
@@ -55,23 +59,32 @@
     return candidates;
 }
 
+// How many of the best candidates have to be sorted to select from them, if `enough` are otherwise. Of a job
+// that is spread across zones any number may be in a zone that can take no more.
+size_t candidates_to_sort(const Job& job, size_t candidates, size_t enough) {
+    return job.spec.spread_across_zones ? candidates : std::min(candidates, enough);
+}
+
 // Adds up to `missing` slots by preemption; returns how many are still missing.
 uint32_t select_preemptions(const Job& job, std::vector<StepReference>& steps, uint32_t missing,
-                            SlotSelection& selection) {
+                            ZoneRule& rule, SlotSelection& selection) {
     // A machine's steps must be taken in order: taking a later step takes the ones before it, so at most as
     // many steps are skipped as are taken, and twice `missing` are enough.
-    auto end = steps.begin() + static_cast<long>(std::min<size_t>(steps.size(), size_t{2} * missing));
+    auto end = steps.begin() + static_cast<long>(candidates_to_sort(job, steps.size(), size_t{2} * missing));
     std::partial_sort(steps.begin(), end, steps.end(), [&](const StepReference& a, const StepReference& b) {
         return rank_of(a, job) < rank_of(b, job);
     });
     steps.erase(end, steps.end());
     std::map<const MachineCapacity*, size_t> steps_taken;
     for (const StepReference& step : steps) {
-        for (size_t index = steps_taken[step.capacity]; index <= step.index && missing > 0; ++index) {
+        const std::string& zone = step.capacity->machine->zone;
+        for (size_t index = steps_taken[step.capacity];
+             index <= step.index && missing > 0 && rule.remaining(zone) > 0; ++index) {
             const auto& victims = step.capacity->preemptions[index].victims;
             selection.victims.insert(selection.victims.end(), victims.begin(), victims.end());
             selection.machines.push_back(step.capacity->machine);
             steps_taken[step.capacity] = index + 1;
+            rule.add(zone);
             --missing;
         }
     }
@@ -80,9 +93,9 @@
 
 // Adds up to `missing` slots that are expected to become free, earliest first, and sets when all are
 // available.
-void select_expected_slots(std::vector<ExpectedSlot>& expected, uint32_t missing, Seconds now,
-                           SlotSelection& selection) {
-    auto end = expected.begin() + static_cast<long>(std::min<size_t>(expected.size(), missing));
+void select_expected_slots(const Job& job, std::vector<ExpectedSlot>& expected, uint32_t missing, Seconds now,
+                           ZoneRule& rule, SlotSelection& selection) {
+    auto end = expected.begin() + static_cast<long>(candidates_to_sort(job, expected.size(), missing));
     std::partial_sort(expected.begin(), end, expected.end(),
                       [](const ExpectedSlot& a, const ExpectedSlot& b) {
                           return a.available_at != b.available_at ? a.available_at < b.available_at
@@ -91,6 +104,8 @@
     selection.available_at = now;
     for (const ExpectedSlot& slot : expected) {
         if (missing == 0) break;
+        if (rule.remaining(slot.machine->zone) == 0) continue;
+        rule.add(slot.machine->zone);
         selection.machines.push_back(slot.machine);
         selection.available_at = slot.available_at;
         --missing;
@@ -103,16 +118,18 @@
 SlotSelection select_slots(const PassContext& pass, const std::string& zone, const Job& job, uint32_t tasks,
                            const std::vector<MachineCapacity>& capacities) {
     pass.count_steps(capacities.size());
-    Candidates candidates = collect_candidates(zone, job, tasks, capacities);
+    ZoneRule rule(job);
+    Candidates candidates = collect_candidates(zone, job, tasks, capacities, rule);
+    ZoneRule preemption_rule = rule;
     SlotSelection selection;
     selection.machines = std::move(candidates.free);
     size_t free_slots = selection.machines.size();
     auto missing = tasks - static_cast<uint32_t>(free_slots);
-    selection.complete = select_preemptions(job, candidates.steps, missing, selection) == 0;
+    selection.complete = select_preemptions(job, candidates.steps, missing, preemption_rule, selection) == 0;
     if (selection.complete) return selection;
     // Preemption does not free enough slots for all tasks, so the expected slots are reserved instead.
     selection.machines.resize(free_slots);
-    select_expected_slots(candidates.expected, missing, pass.input.now, selection);
+    select_expected_slots(job, candidates.expected, missing, pass.input.now, rule, selection);
     return selection;
 }
 
--- a/src/scheduler/slot_selection.h
+++ b/src/scheduler/slot_selection.h
@@ -12,8 +12,8 @@
 struct SlotSelection {
     std::vector<Machine*> machines;  // one entry per slot
     std::vector<Victim> victims;
-    bool complete = false;     // all tasks have a slot once the victims are stopped
-    Seconds available_at = 0;  // if incomplete: when all tasks have a slot without preemption
+    bool complete = false;       // all tasks have a slot once the victims are stopped
+    Seconds available_at = 0;    // if incomplete: when all tasks have a slot without preemption
 
     // Complete selections come first, ordered by the number of victims; incomplete ones follow, ordered by
     // the time at which all slots are available.
@@ -30,10 +30,10 @@
     [[nodiscard]] Rank rank() const { return {!complete, complete ? victims.size() : 0, available_at}; }
 };
 
-// Selects slots for `tasks` tasks of the job in the zone, or in all zones if the name is empty: free slots
-// first, then preemptible slots on machines that have the image cached, then those whose preemption loses
-// least. If preemption does not free enough slots for all tasks, selects the slots that are expected to
-// become free earliest instead of the preemptible ones.
+// Selects slots for `tasks` tasks of the job in the zone, or in all zones if the name is empty, no more in
+// any zone than the job's constraints allow: free slots first, then preemptible slots on machines that have
+// the image cached, then those whose preemption loses least. If preemption does not free enough slots for all
+// tasks, selects the slots that are expected to become free earliest instead of the preemptible ones.
 [[nodiscard]] SlotSelection select_slots(const PassContext& pass, const std::string& zone, const Job& job,
                                          uint32_t tasks, const std::vector<MachineCapacity>& capacities);
 
--- a/tests/scheduler/gang_reservation_test.cc
+++ b/tests/scheduler/gang_reservation_test.cc
@@ -209,3 +209,37 @@
     EXPECT_EQ(gang.wait.reason, WaitReason::kGangRoom);
     EXPECT_EQ(service.wait.reason, WaitReason::kTeamLimit);
 }
+
+// Guards against work that waits beside empty machines of a zone in which a gang, spread across zones, may
+// use no more of them.
+TEST_F(GangReservation, ReservesNoMoreOfAZoneThanTheGangMayUse) {
+    config.teams[0].gpus_max = 0;
+    std::vector<Machine*> machines;
+    for (const char* name : {"vm-1", "vm-2", "vm-3", "vm-4"}) machines.push_back(&add_machine(name));
+    JobSpec gang = job_spec("job-1", 4, JobKind::kGang);
+    gang.gpus = 2;
+    gang.priority = PriorityClass::kHigh;
+    gang.spread_across_zones = true;
+    add_job(gang);
+    JobSpec other = job_spec("job-2", 2, JobKind::kService);
+    other.gpus = 2;
+    other.estimate_s = 0;
+    add_job(other);
+    EXPECT_EQ(schedule_for(machines).size(), 2U);
+}
+
+// The same for preemption: no work is stopped in a zone in which the gang may use no more room.
+TEST_F(GangReservation, PreemptsNoWorkWhereSpreadGangMayUseNoMore) {
+    config.teams[0].gpus_max = 0;
+    run_on(add_machine("vm-1"), add_job(idle_array("job-11", 2)));
+    run_on(add_machine("vm-2"), add_job(idle_array("job-12", 2)));
+    run_on(add_machine("vm-3"), add_job(idle_array("job-13", 2)));
+    run_on(add_machine("vm-4"), add_job(idle_array("job-14", 2)));
+    JobSpec gang = job_spec("job-2", 4, JobKind::kGang);
+    gang.gpus = 2;
+    gang.priority = PriorityClass::kHigh;
+    gang.spread_across_zones = true;
+    add_job(gang);
+    schedule_for({});
+    for (const auto& [id, job] : jobs.all()) EXPECT_EQ(count_stopping(*job), 0U) << id;
+}
