Reserve no machines for a gang whose record is full

A gang whose record has no room for its placements cannot start on any machines, but a complete place was reserved for it with an expected start of now, so that all other work was kept from these machines. ReservesNoMachinesForGangWhoseRecordIsFull failed before.

--- a/src/scheduler/queue.h
+++ b/src/scheduler/queue.h
@@ -21,6 +21,11 @@
     int missed_objectives = 0;        // objectives that it can no longer meet, even if it starts now
 };
 
+// Whether the job's tasks are placed all at once rather than one by one.
+[[nodiscard]] inline bool is_multi_task_gang(const Job& job) {
+    return job.spec.gang() && job.spec.tasks > 1;
+}
+
 // Returns the waiting jobs in the order in which they are served: starved jobs, services of production
 // priority, jobs within their team's guarantee, then by priority, fewest missed objectives, aged jobs
 // before others, oldest first.
--- a/src/scheduler/reservation.cc
+++ b/src/scheduler/reservation.cc
@@ -55,6 +55,8 @@
         preempt_for_replicas(pass, quota, capacities, queued);
         return std::nullopt;
     }
+    // A gang whose record is full could not use the room.
+    if (is_multi_task_gang(job) && job.wait.reason == WaitReason::kRecordFull) return std::nullopt;
     uint32_t tasks = tasks_to_make_room_for(quota, queued);
     if (tasks == 0) return std::nullopt;
     SlotSelection best = select_best_slots(pass, job, tasks, capacities.find(queued));
--- a/src/scheduler/scheduler.cc
+++ b/src/scheduler/scheduler.cc
@@ -23,10 +23,6 @@
            a.job->spec.priority == b.job->spec.priority;
 }
 
-bool is_multi_task_gang(const Job& job) {
-    return job.spec.gang() && job.spec.tasks > 1;
-}
-
 // One scheduling pass: serves the queue class by class.
 class SchedulingPass {
   public:
--- a/src/scheduler/task_matching.cc
+++ b/src/scheduler/task_matching.cc
@@ -13,7 +13,7 @@
 // Whether tasks of the queued job are placed one by one and one of them may start now.
 bool has_startable_task(const QueuedJob& queued, Seconds now) {
     Job& job = *queued.job;
-    if (job.pending.empty() || (job.spec.gang() && job.spec.tasks > 1) || !may_start(job, now)) return false;
+    if (job.pending.empty() || is_multi_task_gang(job) || !may_start(job, now)) return false;
     // Starvation moves only the first task of an array ahead; once it has started, the others keep their
     // regular place in the queue.
     return !queued.starved || job.live.empty();
--- a/tests/scheduler/gang_reservation_test.cc
+++ b/tests/scheduler/gang_reservation_test.cc
@@ -243,3 +243,18 @@
     schedule_for({});
     for (const auto& [id, job] : jobs.all()) EXPECT_EQ(count_stopping(*job), 0U) << id;
 }
+
+// Guards against machines that are kept free for a gang whose record has no room for its placements.
+TEST_F(GangReservation, ReservesNoMachinesForGangWhoseRecordIsFull) {
+    config.teams[0].gpus_max = 0;
+    config.value_bytes = 1100;
+    Machine &first = add_machine("vm-1"), &second = add_machine("vm-2");
+    JobSpec gang = job_spec("job-1", 400, JobKind::kGang);
+    gang.cpus = gang.gpus = gang.memory_gb = 0.005;
+    Job& waiting = add_job(gang);
+    JobSpec other = job_spec("job-2", 4);
+    other.estimate_s = 100;
+    add_job(other);
+    EXPECT_EQ(schedule_for({&first, &second}).size(), 4U);
+    EXPECT_EQ(waiting.wait.reason, WaitReason::kRecordFull);
+}
