End reservations for gangs that nothing lets expect to start

A gang that lacks machines which never come kept resources for ever: the free machines it could use from services, and, once starved, its part of the team's limit from all work of the team. Where neither preemption nor the expected end of running tasks gives a gang all its slots, its reservations now expire 75 s after that was first so: a machine that is requested for it boots in that time, and no other job may wait 90 s beside room. They are renewed when an end is in sight.

--- a/src/base/constants.h
+++ b/src/base/constants.h
@@ -287,6 +287,9 @@
 // Seconds from now assumed for an unknown time: when resources become free, or a deadline without an
 // objective.
 inline constexpr double kNoExpectedEnd_s = 3600.0;
+// Seconds for which resources stay reserved for a gang while nothing tells when it can start. A machine
+// requested for it boots in that time, and no other job may wait 90 s while it has room.
+inline constexpr double kReservationWithoutExpectedStart_s = 75.0;
 // Seconds for fetching an image above which tasks on machines that have it are preempted.
 inline constexpr double kImagePreemptionMinFetch_s = 3.0;
 // Seconds for which a job waits for a machine on which a task was preempted for the job's image.
--- a/src/jobs/job_table.cc
+++ b/src/jobs/job_table.cc
@@ -135,7 +135,10 @@
     job.live.erase(entry);
     if (!job.done.has(task)) {
         job.run_times.interrupted.add(task);
-        if (job.pending.empty()) job.wait.since = now;
+        if (job.pending.empty()) {
+            job.wait.since = now;
+            job.wait.start_unknown_since.reset();
+        }
         job.pending.add(task);
     }
     mark_changed(job);
--- a/src/jobs/job_wait.h
+++ b/src/jobs/job_wait.h
@@ -29,6 +29,15 @@
     WaitReason reason = WaitReason::kNew;
     std::optional<Seconds> reason_logged_at;
     bool has_unplaced_task = false;  // a machine runs a task of the job that matches no placement
+    // Since when nothing tells when a gang's resources will be free; std::nullopt if it is known.
+    std::optional<Seconds> start_unknown_since;
+
+    // Whether resources have been reserved for the gang for so long without an expected start that others may
+    // use them.
+    [[nodiscard]] bool reservation_expired(Seconds now) const {
+        return start_unknown_since &&
+               now - *start_unknown_since >= constants::kReservationWithoutExpectedStart_s;
+    }
 
     // Whether the reason has not been logged within the last kWaitLogInterval_s.
     [[nodiscard]] bool reason_log_due(Seconds now) const {
--- a/src/scheduler/reservation.cc
+++ b/src/scheduler/reservation.cc
@@ -36,6 +36,16 @@
     return best;
 }
 
+// Keeps track of how long nothing has told when the gang can start.
+void note_expected_start(Job& gang, const SlotSelection& selection, Seconds now) {
+    std::optional<Seconds>& unknown_since = gang.wait.start_unknown_since;
+    if (selection.complete || selection.start_expected) {
+        unknown_since.reset();
+    } else if (!unknown_since) {
+        unknown_since = now;
+    }
+}
+
 }  // namespace
 
 void reserve(const Job& job, const std::vector<Machine*>& machines, Seconds until) {
@@ -65,6 +75,8 @@
     if (worth_preempting && now - job.wait.since >= pass.input.settings.preempt_after_s)
         preempt(pass, job, best.victims);
     if (!job.spec.gang()) return std::nullopt;
+    note_expected_start(job, best, now);
+    if (job.wait.reservation_expired(now)) return std::nullopt;
     Seconds expected_start = best.complete ? now : best.available_at;
     reserve(job, best.machines, expected_start);
     return expected_start;
--- a/src/scheduler/slot_selection.cc
+++ b/src/scheduler/slot_selection.cc
@@ -110,6 +110,7 @@
         selection.available_at = slot.available_at;
         --missing;
     }
+    selection.start_expected = missing == 0;
     if (missing > 0) selection.available_at = now + constants::kNoExpectedEnd_s;
 }
 
--- a/src/scheduler/slot_selection.h
+++ b/src/scheduler/slot_selection.h
@@ -13,6 +13,7 @@
     std::vector<Machine*> machines;  // one entry per slot
     std::vector<Victim> victims;
     bool complete = false;       // all tasks have a slot once the victims are stopped
+    bool start_expected = true;  // if incomplete: whether running tasks are expected to free all slots
     Seconds available_at = 0;    // if incomplete: when all tasks have a slot without preemption
 
     // Complete selections come first, ordered by the number of victims; incomplete ones follow, ordered by
--- a/src/scheduler/team_quota.cc
+++ b/src/scheduler/team_quota.cc
@@ -64,6 +64,7 @@
     bool lacks_machines = job.wait.reason == WaitReason::kGangRoom && (gang.starved || expected_start);
     if (job.wait.reason != WaitReason::kTeamLimit && !lacks_machines) return;
     Seconds now = pass_.input.now;
+    if (lacks_machines && job.wait.reservation_expired(now)) return;
     if (!can_become_free(job.spec)) return;
     double tasks = job.pending.size();
     reservations_[job.spec.team].push_back({job.spec.priority,
--- a/src/scheduler/team_quota.h
+++ b/src/scheduler/team_quota.h
@@ -31,7 +31,7 @@
     // starved. It is kept while the gang lacks machines: if other work took the limit in that time, the gang
     // would lack the limit once machines become free. Until `expected_start`, when the whole gang is expected
     // to have room, the reserved part may be used for backfill. Nothing is reserved for a gang that cannot
-    // get it: while services of the team hold too much of the limit.
+    // get it: while services of the team hold too much of the limit, or when the reservation has expired.
     // Must be called after everything else is done for the gang in the pass; otherwise the gang's own tasks
     // would be counted twice.
     void reserve(const QueuedJob& gang, std::optional<Seconds> expected_start);
--- a/tests/scheduler/gang_reservation_test.cc
+++ b/tests/scheduler/gang_reservation_test.cc
@@ -1,6 +1,7 @@
 // Reservations of machines and team limits for waiting gangs.
 #include <gtest/gtest.h>
 
+#include "base/constants.h"
 #include "standins/scheduling_fixture.h"
 
 using namespace hareshore;
@@ -8,6 +9,9 @@
 
 namespace {
 
+// The last moment at which a reservation without an expected start has not expired.
+constexpr Seconds kBeforeExpiry_s = constants::kReservationWithoutExpectedStart_s - 1;
+
 struct GangReservation : SchedulingTest {
     static JobSpec service_spec(const std::string& id, uint32_t replicas, PriorityClass priority) {
         JobSpec spec = job_spec(id, replicas, JobKind::kService);
@@ -210,6 +214,57 @@
     EXPECT_EQ(service.wait.reason, WaitReason::kTeamLimit);
 }
 
+// Guards against a service that waits for ever beside machines which are reserved for a gang that never gets
+// the other machines it needs.
+TEST_F(GangReservation, MachinesAreNotReservedForEverWithoutExpectedStart) {
+    config.teams[0].gpus_max = 0;
+    Machine& first = add_machine("vm-1");
+    JobSpec gang = job_spec("job-1", 2, JobKind::kGang);
+    gang.gpus = 2;
+    add_job(gang);
+    add_job(service_spec("job-2", 1, PriorityClass::kStandard));
+    EXPECT_TRUE(schedule_for({&first}).empty()) << "another machine may be booting for the gang";
+    now += kBeforeExpiry_s;
+    EXPECT_TRUE(schedule_for({&first}).empty());
+    now += 1;
+    EXPECT_EQ(schedule_for({&first}).size(), 1U);
+}
+
+// Guards against a team whose work stops for ever because a starved gang lacks machines that never come.
+TEST_F(GangReservation, LimitIsNotReservedForEverWithoutExpectedStart) {
+    Machine& first = add_machine("vm-1");
+    JobSpec gang = job_spec("job-1", 4, JobKind::kGang);
+    gang.zone = std::string("b");
+    add_job(gang);
+    now += settings.begin_bound_s + 1;
+    add_job(idle_array("job-2", 1));
+    EXPECT_TRUE(schedule_for({&first}).empty());
+    now += kBeforeExpiry_s;
+    EXPECT_TRUE(schedule_for({&first}).empty());
+    now += 1;
+    EXPECT_EQ(schedule_for({&first}).size(), 1U);
+}
+
+// Once running tasks are expected to end in time for the gang, its reservation holds again.
+TEST_F(GangReservation, ExpiredReservationIsRenewedByExpectedStart) {
+    config.teams[0].gpus_max = 0;
+    Machine& first = add_machine("vm-1");
+    JobSpec gang = job_spec("job-1", 2, JobKind::kGang);
+    gang.gpus = 2;
+    Job& waiting = add_job(gang);
+    schedule_for({&first});
+    now += constants::kReservationWithoutExpectedStart_s;
+    schedule_for({&first});
+    EXPECT_TRUE(waiting.wait.reservation_expired(now));
+    Machine& second = add_machine("vm-2");
+    JobSpec running = job_spec("job-2", 2);
+    running.estimate_s = 100;
+    run_on(second, add_job(running));
+    add_job(service_spec("job-3", 1, PriorityClass::kStandard));
+    EXPECT_TRUE(schedule_for({&first}).empty());
+    EXPECT_FALSE(waiting.wait.reservation_expired(now));
+}
+
 // Guards against work that waits beside empty machines of a zone in which a gang, spread across zones, may
 // use no more of them.
 TEST_F(GangReservation, ReservesNoMoreOfAZoneThanTheGangMayUse) {
