Let a leader launch tasks only while its lease is confirmed

A task ran on two machines at once, and a cancelled task ran again, in a test that brings about the late start of a task: a leader that the store refuses, and that does not hear its peers, answers its workers on for as long as its right to renew leases lasts, about 23 s. Meanwhile its successor moves or cancels a task whose launch had been lost. The fencing token keeps the old leader's launch from the machine, unless the machine begins anew within that time: then it has seen no token, takes the old leader's, and the old leader repeats the launch.

Launches are now sent only while the leader's own clock shows its lease to be valid, before whose end no successor can lead. Leases are renewed and stops are sent as before. What was placed and not launched when the lease ran out follows when it is confirmed again.

--- a/src/leader/heartbeat_handler.cc
+++ b/src/leader/heartbeat_handler.cc
@@ -146,6 +146,13 @@
     return std::nullopt;
 }
 
+// A leader whose lease is not confirmed may have been replaced: its successor may have moved or cancelled
+// what this leader has placed. The fencing token does not prevent the launch on a machine that began anew
+// since, as it has seen no token.
+bool HeartbeatHandler::may_launch_on(const Machine& machine) const {
+    return machine.has_current_token && dependencies_.leadership.lease_confirmed();
+}
+
 Response HeartbeatHandler::respond(Machine& machine, HeartbeatRoute route) {
     if (!dependencies_.cancellations.may_renew_leases()) {
         log::info("heartbeat_refused",
@@ -153,7 +160,7 @@
         return service_unavailable();
     }
     const std::vector<Command> commands = dependencies_.jobs.commands(
-        machine, machine.has_current_token ? LaunchCommands::kInclude : LaunchCommands::kOmit);
+        machine, may_launch_on(machine) ? LaunchCommands::kInclude : LaunchCommands::kOmit);
     for (const auto& command : commands)
         log::debug("command_sent", {{"command", command_name(command.kind)},
                                     {"task", command.name.text()},
--- a/src/leader/heartbeat_handler.h
+++ b/src/leader/heartbeat_handler.h
@@ -39,6 +39,7 @@
     Task<void> wait_for_next_pass(const std::string& name, Seconds response_deadline);
     [[nodiscard]] std::optional<Seconds> long_poll_deadline(const Machine& machine, Seconds received_at,
                                                             Seconds max_delay) const;
+    [[nodiscard]] bool may_launch_on(const Machine& machine) const;
     Response respond(Machine& machine, HeartbeatRoute route);
 
     const Dependencies dependencies_;
