Accept no gang whose record cannot hold its placements, and make the record smaller

A gang of some 1,500 to 2,400 tasks was accepted at the record limit of 8 KiB and could never start: 3 bytes were reckoned for a placement, and about 6 were needed. Found while looking at all limits of reports, commands and records.

The tasks of a gang are now placed in the order of the machines' names, so that the differences that the record stores are small, and 5 bytes are reckoned: one digit each for task and attempt, three for machine and zone. The room for done ranges is not kept for gangs, whose tasks are done all at once.

--- a/src/base/constants.h
+++ b/src/base/constants.h
@@ -140,6 +140,9 @@
 inline constexpr size_t kMachineNumberDigits = 9;
 // Minimum JSON bytes of a placement in a record.
 inline constexpr size_t kMinPlacementBytes = 3;
+// JSON bytes of a gang's placement in a record, each on a machine of its own whose number is up to 10,000
+// above the one before: a digit each for task and attempt, three for machine and zone.
+inline constexpr size_t kGangPlacementBytes = 5;
 // Maximum JSON bytes that a finished task adds to the ranges of finished tasks.
 inline constexpr size_t kDoneRangesGrowthBytes = 5;
 // Tasks of a job up to which a finished task adds at most kMinPlacementBytes to those ranges.
--- a/src/config/config.cc
+++ b/src/config/config.cc
@@ -21,8 +21,9 @@
 }
 
 size_t Config::value_limit(uint64_t record_format) const {
-    if (record_format < kFirstFormatWithinNextLimit) return value_bytes;
-    return std::min(value_bytes, next_value_bytes);
+    // A record must also fit into one transaction.
+    size_t limit = std::min(value_bytes, constants::kTransactionBytes);
+    return record_format < kFirstFormatWithinNextLimit ? limit : std::min(limit, next_value_bytes);
 }
 
 Seconds Config::certain_lease_expiry_s() const {
--- a/src/jobs/record_room.cc
+++ b/src/jobs/record_room.cc
@@ -100,8 +100,9 @@
 
 bool format_has_room(const Job& job, uint64_t record_format, size_t limit,
                      std::span<const Machine* const> machines) {
-    // When live tasks end, the done ranges may grow by more than their placements take.
-    size_t growth_each = job.spec.tasks > constants::kSmallJobTasks
+    // When live tasks end, the done ranges may grow by more than their placements take. The tasks of a gang
+    // are done all at once.
+    size_t growth_each = !job.spec.gang() && job.spec.tasks > constants::kSmallJobTasks
                              ? constants::kDoneRangesGrowthBytes - constants::kMinPlacementBytes
                              : 0;
     size_t growth = growth_each * (job.live.size() + machines.size());
--- a/src/scheduler/gang_placement.cc
+++ b/src/scheduler/gang_placement.cc
@@ -57,6 +57,9 @@
         job.wait.reason = WaitReason::kDelayedForImage;
         return;
     }
+    // The record stores differences between one placement and the next: in this order they are small.
+    std::sort(slots.machines.begin(), slots.machines.end(),
+              [](const Machine* a, const Machine* b) { return a->name < b->name; });
     std::vector<const Machine*> machines(slots.machines.begin(), slots.machines.end());
     if (!job.record_has_room(pass_.input.config, pass_.input.record_format, machines)) {
         job.wait.reason = WaitReason::kRecordFull;
--- a/src/users/submission_check.cc
+++ b/src/users/submission_check.cc
@@ -37,7 +37,7 @@
     // The record of a gang holds the placements of all its tasks at once. Tasks of arrays and services start
     // as far as their record has room, one at a time if necessary.
     size_t reserve = constants::kRecordReserveBytes;
-    if (record.spec.gang()) reserve += (record.spec.tasks - 1) * constants::kMinPlacementBytes;
+    if (record.spec.gang()) reserve += (record.spec.tasks - 1) * constants::kGangPlacementBytes;
     for (uint64_t format = record_format.write_format(); format <= kNewestRecordFormat; ++format)
         if (json_size(record.pack(format)) + reserve > config.value_limit(format))
             return JobRefusal::kRecordTooLarge;
