--- a/src/config/config.h
+++ b/src/config/config.h
@@ -60,8 +60,9 @@
     // JSON bytes of one value: the announced limit, which the store enforces without notice from some time
     // after an upgrade on; SIZE_MAX if none is announced.
     size_t next_value_bytes = SIZE_MAX;
-    // Maximum JSON bytes of a record in the given format, at most kTransactionBytes. The format of the production version obeys the
-    // current limit. Records in later formats are written only after the upgrade and must obey both limits.
+    // Maximum JSON bytes of a record in the given format, at most kTransactionBytes. The format of the
+    // production version obeys the current limit. Records in later formats are written only after the upgrade
+    // and must obey both limits.
     [[nodiscard]] size_t value_limit(uint64_t record_format) const;
 
     double cloud_rps = 0;    // requests per second that the cloud allows to all controllers together
