Share the set-up of relayed heartbeats and of the late launches in tests

RelaysHeartbeatsOfWorkersThatCannotReachTheLeader and RelaysBodiesOfTheLargestSize are now ReachTheLeader and MayBeOfTheLargestSize of RelayedHeartbeats, with the same checks.

--- a/tests/controller/late_launch_test.cc
+++ b/tests/controller/late_launch_test.cc
@@ -19,6 +19,8 @@
 constexpr int kWorkerHost = 50;
 constexpr uint16_t kWorkerPort = 9000;
 constexpr Seconds kNotice_s = 120;
+constexpr int kHeartbeats = 4;
+constexpr Seconds kHeartbeatPause_s = 0.5;
 constexpr Seconds kElectionTime_s = 15;
 const std::string kTask = "job-1/0";
 
@@ -51,12 +53,17 @@
     bool leads(int node) { return deployment.node(node).election().leading(); }
     const JobTable& jobs_of(int node) { return deployment.node(node).leader()->jobs(); }
 
+    // Sends heartbeats of the worker, as many as it needs to get the controller's fencing token and a launch.
+    void send_heartbeats(FakeWorker& worker, int node) {
+        for (int i = 0; i < kHeartbeats; ++i) {
+            deployment.run(kHeartbeatPause_s);
+            EXPECT_EQ(deployment.send_heartbeat(worker, node), 200);
+        }
+    }
+
     // The machine gets the second leader's fencing token, and tells it that the task is not there.
     void prove_absence() {
-        for (int i = 0; i < 4; ++i) {
-            deployment.run(0.5);
-            EXPECT_EQ(deployment.send_heartbeat(machine, kSecondLeader), 200);
-        }
+        send_heartbeats(machine, kSecondLeader);
         EXPECT_FALSE(machine.find(kTask));
     }
 
@@ -67,12 +74,7 @@
         machine.fencing_token = 0;
         machine.notice_s.reset();
         machine.tasks.clear();
-        deployment.run(0.5);
-        for (int i = 0; i < 4; ++i) {
-            EXPECT_EQ(deployment.send_heartbeat(machine, kFirstLeader), 200)
-                << "the test needs a leader that does not know yet that it has been replaced";
-            deployment.run(0.5);
-        }
+        send_heartbeats(machine, kFirstLeader);  // which does not know yet that it has been replaced
     }
 
     Task<Response> execute(Request request) {
@@ -94,10 +96,7 @@
     launch_and_change_leader();
     machine.notice_s = kNotice_s;  // its task is moved
     prove_absence();
-    for (int i = 0; i < 4; ++i) {
-        EXPECT_EQ(deployment.send_heartbeat(other, kSecondLeader), 200);
-        deployment.run(0.5);
-    }
+    send_heartbeats(other, kSecondLeader);
     ASSERT_TRUE(other.find(kTask)) << "the second leader moves the task";
     restart_machine_at_first_leader();
     EXPECT_FALSE(machine.find(kTask)) << "the task runs on the other machine";
--- a/tests/leader/heartbeats_test.cc
+++ b/tests/leader/heartbeats_test.cc
@@ -8,30 +8,34 @@
 using namespace hareshore;
 using namespace hareshore::test;
 
-// A worker that was redirected to the leader and returns to another controller cannot reach the leader, so
-// the controller relays its heartbeat.
-TEST(WorkerHeartbeats, RelaysHeartbeatsOfWorkersThatCannotReachTheLeader) {
-    Deployment deployment(2);
-    ASSERT_TRUE(deployment.start_and_elect());
-    int other = 1 - deployment.leader();
-    deployment.run(3);
+namespace {
+
+// Two controllers, and a worker that the one that does not lead has redirected to the leader. If the worker
+// returns, it cannot reach the leader, and the controller relays its heartbeats.
+struct RelayedHeartbeats : testing::Test {
+    void SetUp() override {
+        ASSERT_TRUE(deployment.start_and_elect());
+        other = 1 - deployment.leader();
+        deployment.run(3);
+        EXPECT_EQ(deployment.send_heartbeat(worker, other), 421);
+        deployment.run(5);
+    }
+
+    Deployment deployment{2};
     FakeWorker worker;
-    EXPECT_EQ(deployment.send_heartbeat(worker, other), 421);
-    deployment.run(5);
+    int other = kNoLeader;
+};
+
+}  // namespace
+
+TEST_F(RelayedHeartbeats, ReachTheLeader) {
     EXPECT_EQ(deployment.send_heartbeat(worker, other), 200);
     EXPECT_EQ(worker.fencing_token, deployment.node(deployment.leader()).election().fencing_token());
 }
 
 // Guards against healthy machines that are deleted because their heartbeats are refused: heartbeats and
 // responses may be as large as the protocol allows, also between controllers.
-TEST(WorkerHeartbeats, RelaysBodiesOfTheLargestSize) {
-    Deployment deployment(2);
-    ASSERT_TRUE(deployment.start_and_elect());
-    int other = 1 - deployment.leader();
-    deployment.run(3);
-    FakeWorker worker;
-    EXPECT_EQ(deployment.send_heartbeat(worker, other), 421);
-    deployment.run(5);
+TEST_F(RelayedHeartbeats, MayBeOfTheLargestSize) {
     constexpr uint32_t kTasksPerStep = 20;
     constexpr size_t kStepBytes = 2048;
     while (worker.next_heartbeat().size() + kStepBytes < constants::kBodyLimit)
